--- /dev/null
+++ b/callercommands.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"cowslipflow/cowslipentry"
+)
+
+// callerOptions are common to the callers' subcommands.
+type callerOptions struct {
+	Server   string        `long:"server" env:"COWSLIPFLOW_SERVER" default:"http://127.0.0.1:7610" description:"an entry instance's address for callers, or the balancer's"`
+	CA       string        `long:"ca" env:"COWSLIPFLOW_CA" description:"file of the certificate that signed the server's"`
+	Service  string        `long:"service" required:"yes" description:"to ask"`
+	Route    string        `long:"route" description:"kind of request, by which moves are judged"`
+	Class    string        `long:"class" env:"COWSLIPFLOW_CLASS" description:"of callers, which sets deadline and priority"`
+	Deadline time.Duration `long:"deadline" description:"for the answer (default: the class's or the service's)"`
+	JSON     bool          `long:"json" description:"print the answer as JSON"`
+}
+
+// answerSlack is added to a deadline by the command line's own timeout.
+const answerSlack = 10 * time.Second
+
+func (o callerOptions) server() server {
+	return server{url: o.Server, ca: o.CA, timeout: o.Deadline + answerSlack}
+}
+
+type queryCommand struct {
+	callerOptions
+	Args struct {
+		Query string `positional-arg-name:"QUERY"`
+	} `positional-args:"yes"`
+}
+
+// Execute sends a query.
+func (c *queryCommand) Execute([]string) error {
+	var a cowslipentry.QueryAnswer
+	q := cowslipentry.QueryRequest{Service: c.Service, Route: c.Route, Query: c.Args.Query, Class: c.Class, DeadlineMillis: c.Deadline.Milliseconds()}
+	if err := c.server().call("POST", "/v1/query", q, &a); err != nil {
+		return err
+	}
+	if c.JSON {
+		if err := printJSON(a); err != nil {
+			return err
+		}
+	} else {
+		printAnswer(a)
+	}
+	if !a.Complete {
+		return exit(exitPartial, "the answer covers only a part")
+	}
+	return nil
+}
+
+func printAnswer(a cowslipentry.QueryAnswer) {
+	for _, s := range a.Answers {
+		fmt.Printf("%s: %d items of index version %d, coverage %.2f%%\n", s.Service, len(s.Items), s.IndexVersion, 100*s.Coverage.Fraction)
+		for _, m := range s.Coverage.Missing {
+			fmt.Printf("  missing: keys %d to %d\n", m.Lo, m.Hi-1)
+		}
+		if s.OwnOnly {
+			fmt.Println("  asked only the entry instance's own failure domain, since it is cut off")
+		}
+		fmt.Printf("  sub-requests: %d needed, %d sent\n", s.Needed, s.Sent)
+	}
+}
+
+type recordCommand struct {
+	callerOptions
+	Key  string `long:"key" description:"of your own; a repeated key is one request"`
+	Args struct {
+		Body string `positional-arg-name:"BODY"`
+	} `positional-args:"yes"`
+}
+
+// Execute sends a non-idempotent request.
+func (c *recordCommand) Execute([]string) error {
+	var a cowslipentry.RecordAnswer
+	q := cowslipentry.RecordRequest{Service: c.Service, Route: c.Route, Key: c.Key, Body: c.Args.Body, Class: c.Class, DeadlineMillis: c.Deadline.Milliseconds()}
+	if err := c.server().call("POST", "/v1/record", q, &a); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(a)
+	}
+	fmt.Println("ran once:", a.Result)
+	if a.Repeated {
+		fmt.Println("  by an earlier call with this key")
+	}
+	return nil
+}
--- /dev/null
+++ b/cowslipconfig/check.go
@@ -0,0 +1,242 @@
+package cowslipconfig
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Limits and defaults of the text's values.
+const (
+	maxShards          = 10000
+	maxReplicas        = 1000
+	maxSlots           = 10000
+	maxConnections     = 100000
+	minDeadline        = 5 * time.Millisecond
+	maxDeadline        = 10 * time.Minute
+	maxWarmTime        = time.Hour
+	maxPriority        = 9
+	defaultReplicas    = 2
+	defaultSlots       = 2
+	defaultConnections = 25
+	defaultConnectTime = 5 * time.Millisecond
+	defaultWarmTime    = 10 * time.Second
+	defaultDeadline    = 500 * time.Millisecond
+	defaultExtraLoad   = 0.05
+)
+
+var namePattern = regexp.MustCompile(`^[a-z][a-zA-Z0-9.-]{0,62}$`)
+
+type checker struct {
+	lines    map[string]int
+	problems Problems
+}
+
+func (k *checker) add(path, wrong, right string) {
+	l, ok := k.lines[path]
+	if !ok {
+		if i := strings.LastIndex(path, "."); i > 0 {
+			l = k.lines[path[:i]]
+		}
+	}
+	k.problems = append(k.problems, Problem{Line: l, Field: path, Wrong: wrong, Right: right})
+}
+
+func (k *checker) sorted() Problems {
+	slices.SortStableFunc(k.problems, func(a, b Problem) int { return a.Line - b.Line })
+	return k.problems
+}
+
+func (k *checker) config(r rawConfig) *Config {
+	c := &Config{base: r.Revision}
+	names := map[string]bool{}
+	for i, d := range r.FailureDomains {
+		p := fmt.Sprintf("failureDomains[%d]", i)
+		k.name(p, d.Name, names)
+		if d.State != "" && d.State != "in" && d.State != "out" {
+			k.add(p+".state", fmt.Sprintf("%q is no state", d.State), `write "in" or "out"`)
+		}
+		c.domains = append(c.domains, FailureDomain{name: d.Name, out: d.State == "out"})
+	}
+	if len(c.domains) == 0 {
+		k.add("failureDomains", "no failure domain listed", "list each with [[failureDomains]]")
+	}
+	names = map[string]bool{}
+	for i, x := range r.Classes {
+		c.classes = append(c.classes, k.class(fmt.Sprintf("classes[%d]", i), x, names))
+	}
+	names = map[string]bool{}
+	for i, s := range r.Services {
+		c.services = append(c.services, k.service(fmt.Sprintf("services[%d]", i), s, names))
+	}
+	k.dependencies(c)
+	k.moves(c, r.Moves)
+	return c
+}
+
+func (k *checker) name(path, name string, taken map[string]bool) {
+	switch {
+	case name == "":
+		k.add(path+".name", "missing", "give a name")
+	case !namePattern.MatchString(name):
+		k.add(path+".name", fmt.Sprintf("%q is no name", name), "start with a small letter; then letters, digits, dots and hyphens, 63 at most")
+	case taken[name]:
+		k.add(path+".name", fmt.Sprintf("%q stands twice", name), "give each its own name")
+	}
+	taken[name] = true
+}
+
+func (k *checker) class(p string, r rawClass, names map[string]bool) Class {
+	k.name(p, r.Name, names)
+	if r.Deadline != 0 {
+		k.span(p+".deadline", time.Duration(r.Deadline), minDeadline, maxDeadline)
+	}
+	k.between(p+".priority", r.Priority, 0, maxPriority)
+	return Class{name: r.Name, deadline: time.Duration(r.Deadline), priority: r.Priority}
+}
+
+func (k *checker) service(p string, r rawService, names map[string]bool) Service {
+	k.name(p, r.Name, names)
+	s := Service{
+		name: r.Name, kind: Kind(r.Kind), version: r.Version, dependsOn: r.DependsOn,
+		shards:      r.Shards,
+		replicas:    either(r.Replicas, defaultReplicas),
+		slots:       either(r.Slots, defaultSlots),
+		connections: either(r.Connections, defaultConnections),
+		connectTime: either(time.Duration(r.ConnectTime), defaultConnectTime),
+		warmTime:    either(time.Duration(r.WarmTime), defaultWarmTime),
+		coldSlots:   either(r.ColdSlots, 1),
+		deadline:    either(time.Duration(r.Deadline), defaultDeadline),
+		extraLoad:   defaultExtraLoad,
+	}
+	if r.ExtraLoad != nil {
+		s.extraLoad = *r.ExtraLoad
+	}
+	switch s.kind {
+	case Wide:
+		k.between(p+".shards", s.shards, 1, maxShards)
+	case Narrow:
+		s.shards = either(s.shards, 1)
+		k.between(p+".shards", s.shards, 1, 1)
+	case Composite:
+		if len(r.DependsOn) == 0 {
+			k.add(p+".dependsOn", "a composite service needs services to cross", "name at least one")
+		}
+		k.between(p+".shards", s.shards, 0, 0)
+	default:
+		k.add(p+".kind", fmt.Sprintf("%q is no kind", r.Kind), `write "wide", "narrow" or "composite"`)
+	}
+	k.between(p+".replicas", s.replicas, 1, maxReplicas)
+	k.between(p+".slots", s.slots, 1, maxSlots)
+	k.between(p+".connections", s.connections, 1, maxConnections)
+	k.between(p+".coldSlots", s.coldSlots, 1, s.slots)
+	k.span(p+".connectTime", s.connectTime, 0, time.Minute)
+	k.span(p+".warmTime", s.warmTime, 0, maxWarmTime)
+	k.span(p+".deadline", s.deadline, minDeadline, maxDeadline)
+	if !(s.extraLoad >= 0 && s.extraLoad <= 1) {
+		k.add(p+".extraLoad", fmt.Sprintf("%v is out of range", s.extraLoad), "write a share from 0 to 1")
+	}
+	return s
+}
+
+func (k *checker) between(path string, n, low, high int) {
+	if n < low || n > high {
+		k.add(path, fmt.Sprintf("%d is out of range", n), fmt.Sprintf("write a number from %d to %d", low, high))
+	}
+}
+
+func (k *checker) span(path string, d, low, high time.Duration) {
+	if d < low || d > high {
+		k.add(path, fmt.Sprintf("%v is out of range", d), fmt.Sprintf("write a duration from %v to %v", low, high))
+	}
+}
+
+func (k *checker) dependencies(c *Config) {
+	for i, s := range c.services {
+		p := fmt.Sprintf("services[%d].dependsOn", i)
+		for _, d := range s.dependsOn {
+			if _, ok := c.Service(d); !ok {
+				k.add(p, fmt.Sprintf("no service %q", d), "name a service of this text")
+			}
+		}
+		if w := cycle(c, s.name, s.name, nil); w != nil {
+			k.add(p, "cycle "+strings.Join(w, " -> "), "remove one of these dependencies")
+		}
+	}
+}
+
+// cycle returns the path of dependencies from name back to goal, or nil.
+func cycle(c *Config, goal, name string, path []string) []string {
+	s, ok := c.Service(name)
+	if !ok || slices.Contains(path, name) {
+		return nil
+	}
+	path = append(slices.Clone(path), name)
+	for _, d := range s.dependsOn {
+		if d == goal {
+			return append(path, d)
+		}
+		if w := cycle(c, goal, d, path); w != nil {
+			return w
+		}
+	}
+	return nil
+}
+
+func (k *checker) moves(c *Config, r []rawMove) {
+	seen := map[string]bool{}
+	for i, m := range r {
+		p := fmt.Sprintf("moves[%d]", i)
+		s, ok := c.Service(m.Service)
+		switch {
+		case !ok:
+			k.add(p+".service", fmt.Sprintf("no service %q", m.Service), "name a service of this text")
+		case seen[m.Service]:
+			k.add(p+".service", fmt.Sprintf("%q moves twice", m.Service), "list one move per service")
+		case s.kind == Composite:
+			k.add(p+".service", "a composite service has no targets", "move the services that it depends on")
+		case s.version == "":
+			k.add(p+".service", fmt.Sprintf("service %q names no version to move from", m.Service), "give the service a version")
+		}
+		seen[m.Service] = true
+		if m.To == "" || m.To == s.version {
+			k.add(p+".to", "no other version", "name the version to move to")
+		}
+		if m.By.IsZero() {
+			k.add(p+".by", "missing", "write a time such as 2027-01-31T18:00:00Z")
+		}
+		c.moves = append(c.moves, Move{service: m.Service, from: s.version, to: m.To, by: m.By})
+	}
+}
+
+// CheckEdit checks what depends on the time and on the text before: a move
+// that the text before did not hold must end after now. Line numbers are those
+// of text. A nil before stands for no text.
+func CheckEdit(before, after *Config, text []byte, now time.Time) error {
+	k := &checker{lines: indexLines(text)}
+	old := map[string]bool{}
+	if before != nil {
+		for _, m := range before.moves {
+			old[m.ID()] = true
+		}
+	}
+	for i, m := range after.moves {
+		if !old[m.ID()] && !m.by.After(now) {
+			k.add(fmt.Sprintf("moves[%d].by", i), m.by.UTC().Format(time.RFC3339)+" is in the past", "write a time after "+now.UTC().Format(time.RFC3339))
+		}
+	}
+	if len(k.problems) > 0 {
+		return k.sorted()
+	}
+	return nil
+}
+
+func either[T comparable](v, otherwise T) T {
+	var z T
+	if v == z {
+		return otherwise
+	}
+	return v
+}
--- /dev/null
+++ b/cowslipcontrol/control.go
@@ -0,0 +1,144 @@
+package cowslipcontrol
+
+import (
+	"time"
+
+	"cowslipflow/cowslipconfig"
+	"cowslipflow/cowslipmessage"
+	"cowslipflow/cowsliproute"
+)
+
+// Default times of the control state.
+const (
+	// ConfirmLimit is how long a confirmation of the configuration holds.
+	ConfirmLimit = 3 * time.Second
+	// LiveLimit is how long a view may be used without a further tick.
+	LiveLimit = time.Second
+	// HoldAfterGap is how long a process that stood still sends nothing while
+	// its configuration is not confirmed.
+	HoldAfterGap = time.Second
+	// JoinGrace is how long a new instance sends nothing to cold targets, so
+	// that its peers count it before it counts itself.
+	JoinGrace = 3 * time.Second
+)
+
+// Options configure a Control. Only ID is needed.
+type Options struct {
+	ID            string // unique over all entry instances, also over time
+	FailureDomain string
+	Addr          string // where peers reach this instance
+	Incarnation   string // of this process; ID if empty
+	NoRamp        bool   // a baseline for measurements: cold targets are treated as warm
+	NoPool        bool   // a baseline for measurements: evidence of peers is ignored
+	NoAdmission   bool   // a baseline for measurements: no query is refused for load
+
+	// Event receives what belongs on the time line; ignored if nil.
+	Event func(kind, subject, detail string)
+}
+
+// Control is the control state. Make it with New; it is not safe for
+// concurrent use.
+type Control struct {
+	o         Options
+	started   time.Time
+	ticked    time.Time
+	leaving   bool
+	accepted  Accepted
+	config    *cowslipconfig.Config
+	platform  platformState
+	freshness *cowsliproute.Freshness
+	confirmed time.Time
+	hold      time.Time
+	scope     cowsliproute.Scope
+
+	targets  []target
+	targetAt map[string]int
+	byAddr   map[string]*cowsliproute.Target
+	peers    []peer
+	services map[string]*service
+	moves    []move
+	crashes  []crash
+	outcomes map[string]*cowslipmessage.Outcome
+	stops    map[string]*cowslipmessage.Stop
+
+	seq          uint64
+	limitsDue    time.Time
+	limitsDirty  bool
+	viewDirty    bool
+	serviceDirty map[string]bool // to be published anew
+	targetsDirty map[string]bool // whose snapshots are to be built anew, too
+	quarantined  map[uint64]bool
+	view         *cowsliproute.View
+	crashers     map[uint64]cowsliproute.Verdict
+	effects      Effects
+}
+
+// Effects are what the control state asks its process to do.
+type Effects struct {
+	Repair   bool                      // write the configuration in force to the store, which holds an older one
+	Outcomes []*cowslipmessage.Outcome // record these ends of moves
+	Push     bool                      // exchange with all peers at once
+}
+
+// New makes a control state at now.
+func New(o Options, now time.Time) *Control {
+	if o.Event == nil {
+		o.Event = func(string, string, string) {}
+	}
+	if o.Incarnation == "" {
+		o.Incarnation = o.ID
+	}
+	c := &Control{
+		o: o, started: now, ticked: now, config: &cowslipconfig.Config{},
+		freshness: &cowsliproute.Freshness{}, scope: cowsliproute.ScopeNone,
+		targetAt: map[string]int{}, byAddr: map[string]*cowsliproute.Target{}, services: map[string]*service{},
+		outcomes: map[string]*cowslipmessage.Outcome{}, stops: map[string]*cowslipmessage.Stop{},
+		serviceDirty: map[string]bool{}, targetsDirty: map[string]bool{}, quarantined: map[uint64]bool{}, viewDirty: true, limitsDirty: true,
+	}
+	return c
+}
+
+// Tick runs the systems at now and publishes a view. The effects are those due
+// since the tick before.
+func (c *Control) Tick(now time.Time) (*cowsliproute.View, Effects) {
+	c.runFreshness(now)
+	c.runMembership(now)
+	c.runHealth(now)
+	c.runLatency(now)
+	c.runMoves(now)
+	c.runQuarantine(now)
+	c.runLimits(now)
+	c.ticked = now
+	c.publish()
+	e := c.effects
+	c.effects = Effects{}
+	return c.view, e
+}
+
+// View is the one last published, nil before the first tick.
+func (c *Control) View() *cowsliproute.View { return c.view }
+
+// Leave starts the graceful shutdown: peers count this instance out.
+func (c *Control) Leave() {
+	c.leaving = true
+	c.limitsDirty = true
+	c.effects.Push = true
+}
+
+// touch marks a target's row as changed for peers, limits and its service.
+func (c *Control) touch(t *target) {
+	c.seq++
+	t.seq = c.seq
+	c.limitsDirty = true
+	c.markTargets(t.handle.Info().Service)
+}
+
+func (c *Control) markTargets(service string) {
+	c.targetsDirty[service] = true
+	c.markService(service)
+}
+
+func (c *Control) markService(service string) {
+	c.serviceDirty[service] = true
+	c.viewDirty = true
+}
--- /dev/null
+++ b/cowslipcontrol/exchange.go
@@ -0,0 +1,138 @@
+package cowslipcontrol
+
+import (
+	"time"
+
+	"cowslipflow/cowslipmessage"
+)
+
+// State makes the message for a peer. PeerRevision is what the peer was last
+// heard to have in force; the configuration goes along if that is older.
+func (c *Control) State(now time.Time, id string) *cowslipmessage.State {
+	s := &cowslipmessage.State{
+		Id: c.o.ID, FailureDomain: c.o.FailureDomain, Incarnation: c.o.Incarnation, Addr: c.o.Addr, Leaving: c.leaving,
+		Revision: c.accepted.Revision, ConfirmedAgeMillis: -1, Seq: c.seq, Crashes: c.crashMessages(now),
+	}
+	if !c.confirmed.IsZero() {
+		s.ConfirmedAgeMillis = now.Sub(c.confirmed).Milliseconds() + 1
+	}
+	for _, m := range c.Peers() {
+		s.Members = append(s.Members, &cowslipmessage.Member{Id: m.ID, FailureDomain: m.FailureDomain, Addr: m.Addr})
+	}
+	for i := range c.moves {
+		for k, x := range c.moves[i].own {
+			s.Evidence = append(s.Evidence, &cowslipmessage.Evidence{Move: k.move, Version: k.version, Route: k.route, FailureDomain: k.domain, Requests: x.requests, Errors: x.errors, Slow: x.slow})
+		}
+	}
+	for _, x := range c.stops {
+		s.Stops = append(s.Stops, x)
+	}
+	for _, x := range c.outcomes {
+		s.Outcomes = append(s.Outcomes, x)
+	}
+	p := c.peer(id)
+	if p == nil {
+		return s
+	}
+	s.HaveSeq = p.haveSeq
+	s.Targets = c.rowsAfter(now, p.ackSeq)
+	if p.revision < c.accepted.Revision {
+		// The encoding of a decoded value cannot fail.
+		s.Accepted, _ = c.accepted.Encode()
+	}
+	return s
+}
+
+func (c *Control) rowsAfter(now time.Time, seq uint64) []*cowslipmessage.TargetRow {
+	var l []*cowslipmessage.TargetRow
+	for i := range c.targets {
+		t := &c.targets[i]
+		if t.seq > seq && t.incarnation != "" {
+			l = append(l, &cowslipmessage.TargetRow{Id: t.handle.Info().ID, Incarnation: t.incarnation, AgeMillis: now.Sub(t.since).Milliseconds(), Leaving: t.selfLeaving, Cold: t.cold})
+		}
+	}
+	return l
+}
+
+func (c *Control) peer(id string) *peer {
+	for i := range c.peers {
+		if c.peers[i].id == id {
+			return &c.peers[i]
+		}
+	}
+	return nil
+}
+
+// Message handles what a peer sent. For the answer to an exchange, start is
+// when the exchange began; it is zero for an exchange that the peer began,
+// which proves nothing of how old its content is.
+func (c *Control) Message(now, start time.Time, s *cowslipmessage.State) {
+	p := c.ensurePeer(now, Member{ID: s.GetId(), FailureDomain: s.GetFailureDomain(), Addr: s.GetAddr()})
+	if p == nil {
+		return
+	}
+	c.heardFrom(now, p, s)
+	for _, m := range s.GetMembers() {
+		c.ensurePeer(now, Member{ID: m.GetId(), FailureDomain: m.GetFailureDomain(), Addr: m.GetAddr()})
+	}
+	p = c.peer(s.GetId())
+	if b := s.GetAccepted(); len(b) > 0 {
+		if a, err := DecodeAccepted(b); err != nil {
+			c.o.Event("messageRejected", s.GetId(), err.Error())
+		} else {
+			c.Offer(a, "peer "+s.GetId())
+		}
+	}
+	if !start.IsZero() {
+		p.answered = start
+		if s.GetConfirmedAgeMillis() >= 0 && s.GetRevision() == c.accepted.Revision && s.GetRevision() > 0 {
+			c.confirm(start.Add(-time.Duration(s.GetConfirmedAgeMillis()) * time.Millisecond))
+		}
+	}
+	for _, r := range s.GetTargets() {
+		c.mergeRow(now, r)
+	}
+	p.haveSeq = s.GetSeq()
+	p.ackSeq = s.GetHaveSeq()
+	c.mergeEvidence(p, s.GetEvidence())
+	for _, o := range s.GetOutcomes() {
+		c.Outcome(o, false)
+	}
+	for _, x := range s.GetStops() {
+		c.mergeStop(x)
+	}
+	for _, x := range s.GetCrashes() {
+		c.addCrash(crash{fingerprint: x.GetFingerprint(), incident: x.GetIncident(), service: x.GetService(), version: x.GetVersion(), at: now.Add(-time.Duration(x.GetAgeMillis()) * time.Millisecond)})
+	}
+}
+
+func (c *Control) heardFrom(now time.Time, p *peer, s *cowslipmessage.State) {
+	if p.incarnation != s.GetIncarnation() {
+		p.incarnation = s.GetIncarnation()
+		p.haveSeq, p.ackSeq = 0, 0
+		clear(p.evidence)
+		c.limitsDirty = true
+	}
+	if p.gone() || p.leaving != s.GetLeaving() {
+		c.limitsDirty = true
+	}
+	if s.GetLeaving() && !p.leaving {
+		c.o.Event("peerLeaving", p.id, "")
+	}
+	p.leaving = s.GetLeaving()
+	p.heard = now
+	p.revision = s.GetRevision()
+}
+
+func (c *Control) mergeStop(x *cowslipmessage.Stop) {
+	if c.stops[x.GetMove()] != nil || c.outcomes[x.GetMove()] != nil {
+		return
+	}
+	c.stops[x.GetMove()] = x
+	c.effects.Push = true
+	for i := range c.moves {
+		if c.moves[i].config.ID() == x.GetMove() {
+			c.markMove(&c.moves[i])
+		}
+	}
+}
--- /dev/null
+++ b/cowslipcontrol/limits.go
@@ -0,0 +1,141 @@
+package cowslipcontrol
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// connectionHeadroom is the share of a target's connections that all entry
+// instances together use, so that a replacement fits beside those it replaces.
+const connectionHeadroom = 0.8
+
+// runLimits sets how many requests this instance may have in flight at each
+// target: a share of the target's connections, none while it may not be asked,
+// and a share of what a cold target bears counted over all instances.
+func (c *Control) runLimits(now time.Time) {
+	if !c.limitsDirty && (c.limitsDue.IsZero() || now.Before(c.limitsDue)) {
+		return
+	}
+	c.limitsDirty = false
+	c.limitsDue = time.Time{}
+	m := c.senders()
+	for i := range c.targets {
+		t := &c.targets[i]
+		t.handle.SetLimit(c.limit(now, t, m))
+	}
+	c.keepShards(now, m)
+}
+
+// due asks for another run of the limits at a time.
+func (c *Control) due(at time.Time) {
+	if c.limitsDue.IsZero() || at.Before(c.limitsDue) {
+		c.limitsDue = at
+	}
+}
+
+func (c *Control) limit(now time.Time, t *target, senders []string) int {
+	if !c.usable(t) || t.ejected && now.Before(t.ejectedTill) {
+		return 0
+	}
+	if t.ejected {
+		return 1
+	}
+	return c.capacity(now, t, senders)
+}
+
+// serving tells whether a target belongs to the shards that queries cross.
+func (c *Control) serving(t *target) bool {
+	i := t.handle.Info()
+	_, ok := c.config.Service(i.Service)
+	return ok && t.incarnation != "" && !t.leaving() && !c.config.Out(i.FailureDomain)
+}
+
+// usable tells whether a target may be asked now.
+func (c *Control) usable(t *target) bool { return c.serving(t) && !t.handle.Held() }
+
+func (c *Control) capacity(now time.Time, t *target, senders []string) int {
+	i := t.handle.Info()
+	s, _ := c.config.Service(i.Service)
+	if w := t.since.Add(s.WarmTime()); !c.o.NoRamp && (t.cold || now.Before(w)) {
+		if !t.cold || now.Before(w) {
+			c.due(w)
+		}
+		return c.coldLimit(now, i.ID, s.ColdSlots(), senders)
+	}
+	n := int(float64(s.Connections()) * connectionHeadroom)
+	share := n / (len(senders) + 1)
+	if share == 0 && c.chosen(i.ID, senders, max(n, 1)) {
+		share = 1
+	}
+	return min(share, s.Slots())
+}
+
+// coldLimit divides what a cold target bears among all senders; where that is
+// less than one each, rendezvous hashing picks who sends.
+func (c *Control) coldLimit(now time.Time, id string, bears int, senders []string) int {
+	if c.leaving {
+		return 0
+	}
+	if g := c.started.Add(JoinGrace); now.Before(g) {
+		c.due(g)
+		return 0
+	}
+	if n := bears / len(senders); n > 0 {
+		return n
+	}
+	if c.chosen(id, senders, bears) {
+		return 1
+	}
+	return 0
+}
+
+// chosen tells whether this instance is among the first n of the senders in
+// the target's rendezvous order.
+func (c *Control) chosen(id string, senders []string, n int) bool {
+	own := rendezvous(id, c.o.ID)
+	above := 0
+	for _, s := range senders {
+		if s != c.o.ID && rendezvous(id, s) > own {
+			above++
+		}
+	}
+	return above < n
+}
+
+func rendezvous(a, b string) uint64 {
+	return xxhash.Sum64String(a + "\x00" + b)
+}
+
+// keepShards gives the usable replicas of a shard that health alone would
+// leave empty one request each.
+func (c *Control) keepShards(now time.Time, senders []string) {
+	if !slices.ContainsFunc(c.targets, func(t target) bool { return t.ejected }) {
+		return
+	}
+	for _, s := range c.services {
+		for _, n := range s.snapshots {
+			for _, p := range n.Parts {
+				var e []*target
+				healthy := false
+				for _, h := range p.Replicas {
+					t := c.row(h)
+					if t == nil || !c.usable(t) {
+						continue
+					}
+					healthy = healthy || !t.ejected
+					if t.ejected {
+						e = append(e, t)
+					}
+				}
+				if healthy {
+					continue
+				}
+				for _, t := range e {
+					t.handle.SetLimit(min(1, c.capacity(now, t, senders)))
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/cowslipcontrol/membership.go
@@ -0,0 +1,273 @@
+package cowslipcontrol
+
+import (
+	"slices"
+	"time"
+
+	"cowslipflow/cowslipmessage"
+	"cowslipflow/cowslipplatform"
+	"cowslipflow/cowsliproute"
+	"cowslipflow/cowsliptarget"
+)
+
+const (
+	// forgetPeer is how long a peer that is not listed and does not answer
+	// still counts as a member.
+	forgetPeer = 30 * time.Second
+	// refusedFor is how long after a refused connection a peer counts as gone.
+	refusedFor = 5 * time.Second
+	// forgetTarget is how long a target that is no longer listed keeps its row.
+	forgetTarget = time.Minute
+)
+
+// target is a row of the table of targets.
+type target struct {
+	handle      *cowsliproute.Target
+	incarnation string
+	since       time.Time // when any entry instance first saw the incarnation, or found it cold again
+	reported    time.Time // last report heard directly
+	unlisted    time.Time // zero while the platform lists it
+	listLeaving bool
+	selfLeaving bool
+	cold        bool
+	holdings    []cowsliptarget.Holding
+	failures    int
+	ejected     bool
+	ejectedTill time.Time
+	backoff     time.Duration
+	lastOK      time.Time
+	seq         uint64
+}
+
+func (t *target) leaving() bool { return t.listLeaving || t.selfLeaving || !t.unlisted.IsZero() }
+
+// peer is a row of the table of entry instances.
+type peer struct {
+	id, failureDomain, addr string
+	incarnation             string
+	first                   time.Time
+	listed                  bool
+	leaving                 bool
+	heard                   time.Time // last message of any kind
+	answered                time.Time // start of the last exchange that it answered
+	refused                 time.Time
+	revision                uint64
+	haveSeq                 uint64 // its rows that this instance has
+	ackSeq                  uint64 // this instance's rows that it has
+	evidence                map[evidenceKey]counts
+}
+
+// gone tells whether the peer runs no process that accepts edits or sends.
+func (p *peer) gone() bool {
+	return p.leaving || !p.refused.IsZero() && p.refused.After(p.heard)
+}
+
+// Member is an entry instance to exchange with.
+type Member struct {
+	ID            string `json:"id"`
+	FailureDomain string `json:"failureDomain"`
+	Addr          string `json:"addr"`
+}
+
+// Listed handles the platform's list of instances.
+func (c *Control) Listed(now time.Time, l []cowslipplatform.Instance) {
+	seen := make(map[string]bool, len(l))
+	for _, i := range l {
+		seen[i.ID] = true
+		t := c.ensureTarget(now, i)
+		if t.listLeaving != i.Leaving || !t.unlisted.IsZero() {
+			t.listLeaving = i.Leaving
+			t.unlisted = time.Time{}
+			c.noteLeaving(t, "listed")
+		}
+	}
+	for i := range c.targets {
+		t := &c.targets[i]
+		if !seen[t.handle.Info().ID] && t.unlisted.IsZero() {
+			t.unlisted = now
+			c.noteLeaving(t, "no longer listed")
+		}
+	}
+}
+
+func (c *Control) noteLeaving(t *target, how string) {
+	if t.leaving() != t.handle.Leaving() {
+		t.handle.SetLeaving(t.leaving())
+		if t.leaving() {
+			c.o.Event("targetLeaving", t.handle.Info().ID, how)
+		}
+	}
+	c.touch(t)
+}
+
+func (c *Control) ensureTarget(now time.Time, i cowslipplatform.Instance) *target {
+	if n, ok := c.targetAt[i.ID]; ok {
+		t := &c.targets[n]
+		o := t.handle.Info()
+		if o.Addr == i.Addr && o.Version == i.Version && o.Service == i.Service && o.FailureDomain == i.FailureDomain {
+			return t
+		}
+		c.dropTarget(n)
+	}
+	slots := 1
+	if s, ok := c.config.Service(i.Service); ok {
+		slots = s.Slots()
+	}
+	h := cowsliproute.NewTarget(cowsliproute.TargetInfo{ID: i.ID, Addr: i.Addr, Service: i.Service, FailureDomain: i.FailureDomain, Version: i.Version, Slots: slots})
+	c.targets = append(c.targets, target{handle: h, lastOK: now})
+	c.targetAt[i.ID] = len(c.targets) - 1
+	c.byAddr[i.Addr] = h
+	t := &c.targets[len(c.targets)-1]
+	c.touch(t)
+	return t
+}
+
+func (c *Control) dropTarget(n int) {
+	t := c.targets[n]
+	i := t.handle.Info()
+	t.handle.SetLimit(0)
+	t.handle.SetLeaving(true)
+	if c.byAddr[i.Addr] == t.handle {
+		delete(c.byAddr, i.Addr)
+	}
+	c.markTargets(i.Service)
+	last := len(c.targets) - 1
+	c.targets[n] = c.targets[last]
+	c.targetAt[c.targets[n].handle.Info().ID] = n
+	delete(c.targetAt, i.ID)
+	c.targets = c.targets[:last]
+}
+
+// Members handles the platform's list of entry instances.
+func (c *Control) Members(now time.Time, l []Member) {
+	seen := map[string]bool{}
+	for _, m := range l {
+		seen[m.ID] = true
+		if p := c.ensurePeer(now, m); p != nil {
+			p.listed = true
+		}
+	}
+	for i := range c.peers {
+		c.peers[i].listed = seen[c.peers[i].id]
+	}
+}
+
+func (c *Control) ensurePeer(now time.Time, m Member) *peer {
+	if m.ID == c.o.ID || m.ID == "" {
+		return nil
+	}
+	for i := range c.peers {
+		if p := &c.peers[i]; p.id == m.ID {
+			p.addr = m.Addr
+			return p
+		}
+	}
+	c.peers = append(c.peers, peer{id: m.ID, failureDomain: m.FailureDomain, addr: m.Addr, first: now, evidence: map[evidenceKey]counts{}})
+	c.o.Event("peerJoined", m.ID, m.Addr)
+	c.limitsDirty = true
+	return &c.peers[len(c.peers)-1]
+}
+
+// PeerFailed handles an exchange that brought no answer. Refused says that the
+// peer's host answered that no process listens.
+func (c *Control) PeerFailed(now time.Time, id string, refused bool) {
+	for i := range c.peers {
+		p := &c.peers[i]
+		if p.id != id || !refused {
+			continue
+		}
+		if !p.gone() {
+			c.o.Event("peerGone", id, "connection refused")
+			c.limitsDirty = true
+		}
+		p.refused = now
+	}
+}
+
+// runMembership forgets targets and peers that are gone for good.
+func (c *Control) runMembership(now time.Time) {
+	for i := len(c.targets) - 1; i >= 0; i-- {
+		if u := c.targets[i].unlisted; !u.IsZero() && now.Sub(u) > forgetTarget {
+			c.dropTarget(i)
+		}
+	}
+	n := len(c.peers)
+	c.peers = slices.DeleteFunc(c.peers, func(p peer) bool {
+		last := later(p.heard, p.first)
+		away := refusedFor
+		if !p.gone() {
+			away = forgetPeer
+		}
+		return !p.listed && now.Sub(last) > away
+	})
+	if len(c.peers) != n {
+		c.limitsDirty = true
+	}
+}
+
+// Peers lists the entry instances to exchange with.
+func (c *Control) Peers() []Member {
+	m := make([]Member, 0, len(c.peers))
+	for i := range c.peers {
+		p := &c.peers[i]
+		m = append(m, Member{ID: p.id, FailureDomain: p.failureDomain, Addr: p.addr})
+	}
+	return m
+}
+
+// senders lists the IDs of all instances that may send, in order.
+func (c *Control) senders() []string {
+	s := []string{c.o.ID}
+	for i := range c.peers {
+		if !c.peers[i].gone() {
+			s = append(s, c.peers[i].id)
+		}
+	}
+	slices.Sort(s)
+	return s
+}
+
+// mergeRow takes a peer's knowledge of a target. Of two incarnations the one
+// first seen later is the newer one.
+func (c *Control) mergeRow(now time.Time, r *cowslipmessage.TargetRow) {
+	n, ok := c.targetAt[r.GetId()]
+	if !ok || r.GetIncarnation() == "" {
+		return
+	}
+	t := &c.targets[n]
+	since := now.Add(-time.Duration(r.GetAgeMillis()) * time.Millisecond)
+	changed := false
+	switch {
+	case t.incarnation == "":
+		t.incarnation, t.since, t.cold = r.GetIncarnation(), since, r.GetCold()
+		changed = true
+	case t.incarnation != r.GetIncarnation():
+		if !since.After(t.since) {
+			return
+		}
+		t.incarnation, t.since, t.cold = r.GetIncarnation(), since, r.GetCold()
+		t.selfLeaving = false
+		changed = true
+	case r.GetCold() && since.Sub(t.since) > time.Second:
+		t.since, t.cold = since, true
+		changed = true
+	case !t.cold && t.since.Sub(since) > time.Second:
+		t.since = since
+		changed = true
+	}
+	if r.GetLeaving() && t.incarnation == r.GetIncarnation() && !t.selfLeaving {
+		t.selfLeaving = true
+		c.noteLeaving(t, "a peer saw its signal")
+		return
+	}
+	if changed {
+		c.noteLeaving(t, "a peer saw a new incarnation")
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/cowslipcontrol/publish.go
@@ -0,0 +1,38 @@
+package cowslipcontrol
+
+import (
+	"maps"
+
+	"cowslipflow/cowsliproute"
+)
+
+// publish makes a new view if anything that requests see has changed. Only
+// services that changed are built anew.
+func (c *Control) publish() {
+	if !c.viewDirty && c.view != nil {
+		return
+	}
+	c.viewDirty = false
+	v := make(map[string]*cowsliproute.Service, len(c.services))
+	for n, s := range c.services {
+		if c.view != nil && !c.serviceDirty[n] {
+			if o := c.view.Service(n); o != nil {
+				v[n] = o
+				continue
+			}
+		}
+		if c.targetsDirty[n] {
+			s.snapshots = c.buildSnapshots(n)
+		}
+		v[n] = cowsliproute.NewService(cowsliproute.ServiceOptions{
+			Config: s.config, Snapshots: s.snapshots, HedgeAfter: s.hedge,
+			Budget: s.budget, Limiter: s.limiter, Move: c.moveView(c.ticked, n),
+		})
+	}
+	clear(c.serviceDirty)
+	clear(c.targetsDirty)
+	c.view = cowsliproute.NewView(cowsliproute.ViewOptions{
+		Revision: c.accepted.Revision, FailureDomain: c.o.FailureDomain, Freshness: c.freshness,
+		Services: v, ByAddr: maps.Clone(c.byAddr), Crashers: c.crashers, Config: c.config,
+	})
+}
--- /dev/null
+++ b/cowslipcontrol/report.go
@@ -0,0 +1,137 @@
+package cowslipcontrol
+
+import (
+	"time"
+
+	"cowslipflow/cowsliproute"
+	"cowslipflow/cowsliptarget"
+)
+
+// Status is an entry instance as operators see it.
+type Status struct {
+	ID            string          `json:"id"`
+	FailureDomain string          `json:"failureDomain"`
+	Revision      uint64          `json:"revision"`
+	Scope         string          `json:"scope"` // all, own or none
+	Leaving       bool            `json:"leaving"`
+	PlatformDown  bool            `json:"platformDown"`
+	InForce       []string        `json:"inForce"`      // instances known to have this revision in force
+	NotConfirmed  []string        `json:"notConfirmed"` // instances not known to have it
+	Services      []ServiceStatus `json:"services"`
+}
+
+// ServiceStatus is a service as operators see it.
+type ServiceStatus struct {
+	Name         string   `json:"name"`
+	IndexVersion uint64   `json:"indexVersion"`
+	Coverage     float64  `json:"coverage"` // share of the key space with a serving replica
+	Targets      int      `json:"targets"`
+	Cold         int      `json:"cold"`
+	Ejected      int      `json:"ejected"`
+	Leaving      int      `json:"leaving"`
+	Impaired     []string `json:"impaired"` // services it depends on that are not fully covered
+}
+
+// FailureDomainStatus is a failure domain as operators see it.
+type FailureDomainStatus struct {
+	Name    string `json:"name"`
+	State   string `json:"state"` // in or out
+	Targets int    `json:"targets"`
+	Cold    int    `json:"cold"`
+	Peers   int    `json:"entryInstances"`
+	Heard   int    `json:"entryInstancesHeard"`
+}
+
+const keySpace = cowsliptarget.KeySpace
+
+// heardLately is how recent a peer's last message must be to count.
+const heardLately = 3 * time.Second
+
+var scopeNames = map[cowsliproute.Scope]string{cowsliproute.ScopeAll: "all", cowsliproute.ScopeOwn: "own", cowsliproute.ScopeNone: "none"}
+
+// Status reports this instance.
+func (c *Control) Status(now time.Time) Status {
+	s := Status{
+		ID: c.o.ID, FailureDomain: c.o.FailureDomain, Revision: c.accepted.Revision, Scope: scopeNames[c.freshness.Scope(now)],
+		Leaving: c.leaving, PlatformDown: c.platform.down, InForce: []string{c.o.ID}, NotConfirmed: []string{},
+	}
+	for i := range c.peers {
+		p := &c.peers[i]
+		switch {
+		case p.gone():
+		case p.revision == c.accepted.Revision && now.Sub(p.heard) < heardLately:
+			s.InForce = append(s.InForce, p.id)
+		default:
+			s.NotConfirmed = append(s.NotConfirmed, p.id)
+		}
+	}
+	for _, x := range c.config.Services() {
+		s.Services = append(s.Services, c.serviceStatus(now, x.Name()))
+	}
+	return s
+}
+
+func (c *Control) serviceStatus(now time.Time, name string) ServiceStatus {
+	s := ServiceStatus{Name: name, Impaired: []string{}}
+	r := c.services[name]
+	if len(r.snapshots) > 0 {
+		s.IndexVersion = r.snapshots[0].IndexVersion
+		s.Coverage = float64(covered(r.snapshots[0])) / keySpace
+	}
+	for i := range c.targets {
+		t := &c.targets[i]
+		if t.handle.Info().Service != name {
+			continue
+		}
+		s.Targets++
+		s.Cold += one(c.isCold(now, t))
+		s.Ejected += one(t.ejected)
+		s.Leaving += one(t.leaving())
+	}
+	for _, d := range r.config.DependsOn() {
+		x := c.services[d]
+		if len(x.snapshots) == 0 || covered(x.snapshots[0]) < keySpace {
+			s.Impaired = append(s.Impaired, d)
+		}
+	}
+	return s
+}
+
+func (c *Control) isCold(now time.Time, t *target) bool {
+	return t.cold || now.Sub(t.since) < c.warmTime(t)
+}
+
+// FailureDomains reports the failure domains of the configuration in force.
+func (c *Control) FailureDomains(now time.Time) []FailureDomainStatus {
+	l := []FailureDomainStatus{}
+	for _, d := range c.config.FailureDomains() {
+		s := FailureDomainStatus{Name: d.Name(), State: "in"}
+		if d.Out() {
+			s.State = "out"
+		}
+		for i := range c.targets {
+			if t := &c.targets[i]; t.handle.Info().FailureDomain == d.Name() {
+				s.Targets++
+				s.Cold += one(c.isCold(now, t))
+			}
+		}
+		if d.Name() == c.o.FailureDomain {
+			s.Peers, s.Heard = 1, 1
+		}
+		for i := range c.peers {
+			if p := &c.peers[i]; p.failureDomain == d.Name() && !p.gone() {
+				s.Peers++
+				s.Heard += one(now.Sub(p.heard) < heardLately)
+			}
+		}
+		l = append(l, s)
+	}
+	return l
+}
+
+func one(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/cowslipcontrol/sample.go
@@ -0,0 +1,188 @@
+package cowslipcontrol
+
+import (
+	"slices"
+	"time"
+
+	"cowslipflow/cowsliproute"
+	"cowslipflow/cowsliptarget"
+)
+
+// Sample is the end of one request to a target, as the traffic side saw it.
+type Sample struct {
+	Target   *cowsliproute.Target
+	Route    string
+	Outcome  cowsliptarget.Outcome
+	Crashed  bool // the target went down with the request
+	TimedOut bool // cancelled since the deadline was over, not since it was not needed any more
+	Latency  time.Duration
+	Report   cowsliptarget.Report
+	At       time.Time
+}
+
+// Constants of health and of finding a target cold without notice.
+const (
+	ejectAfter     = 3
+	firstBackoff   = time.Second
+	maxBackoff     = 30 * time.Second
+	coldGap        = 5 * time.Second
+	coldJump       = 5
+	coldLatency    = 20 * time.Millisecond
+	overloadQueue  = 1 // queued requests per slot from which a target counts as overloaded
+	reportInterval = time.Second
+)
+
+// Observe handles the end of a request.
+func (c *Control) Observe(s Sample) {
+	t := c.row(s.Target)
+	if t == nil {
+		return
+	}
+	if s.Report.Incarnation != "" {
+		c.report(s.At, t, s.Report)
+	}
+	c.observeService(s)
+	c.observeMove(s)
+	if s.Crashed {
+		return
+	}
+	switch {
+	case s.Outcome == cowsliptarget.OK:
+		c.findCold(t, s)
+		t.failures = 0
+		t.lastOK = s.At
+		if t.ejected {
+			t.ejected = false
+			t.backoff = 0
+			c.o.Event("targetReinstated", t.handle.Info().ID, "a request succeeded")
+			c.limitsDirty = true
+		}
+	case s.Outcome == cowsliptarget.Failed, s.Outcome == cowsliptarget.Lost, s.Outcome == cowsliptarget.Corrupt, s.Outcome == cowsliptarget.NotSent, s.TimedOut:
+		t.failures++
+		if t.failures >= ejectAfter {
+			c.eject(t, s.At)
+		}
+	}
+}
+
+// findCold puts a target that answers far slower after a pause back at the
+// start of its ramp.
+func (c *Control) findCold(t *target, s Sample) {
+	m := t.handle.Latency()
+	if s.At.Sub(t.lastOK) > coldGap && m > 0 && s.Latency > coldLatency && s.Latency > coldJump*m {
+		c.markCold(t, s.At, "latency jumped after a pause")
+	}
+}
+
+func (c *Control) markCold(t *target, now time.Time, how string) {
+	t.since = now
+	t.cold = true
+	c.o.Event("targetCold", t.handle.Info().ID, how)
+	c.effects.Push = true
+	c.touch(t)
+}
+
+func (c *Control) eject(t *target, now time.Time) {
+	if t.ejected && now.Before(t.ejectedTill) {
+		return
+	}
+	t.backoff = min(max(2*t.backoff, firstBackoff), maxBackoff)
+	t.ejected = true
+	t.ejectedTill = now.Add(t.backoff)
+	t.failures = 0
+	c.o.Event("targetEjected", t.handle.Info().ID, "for "+t.backoff.String())
+	c.limitsDirty = true
+}
+
+// runHealth lets an ejected target be tried again once its time is over.
+func (c *Control) runHealth(now time.Time) {
+	for i := range c.targets {
+		t := &c.targets[i]
+		if t.ejected && !t.ejectedTill.IsZero() && !now.Before(t.ejectedTill) {
+			t.ejectedTill = time.Time{}
+			t.failures = ejectAfter - 1
+			c.limitsDirty = true
+		}
+	}
+}
+
+// Reported handles a target's own report of itself, asked for or come with an
+// answer.
+func (c *Control) Reported(now time.Time, h *cowsliproute.Target, r cowsliptarget.Report) {
+	if t := c.row(h); t != nil && r.Incarnation != "" {
+		c.report(now, t, r)
+	}
+}
+
+func (c *Control) report(now time.Time, t *target, r cowsliptarget.Report) {
+	t.reported = now
+	t.handle.SetLoad(r.Running + r.Queued)
+	if r.Slots > 0 && r.Queued > overloadQueue*r.Slots {
+		if s := c.services[t.handle.Info().Service]; s != nil {
+			s.limiter.Overloaded(now)
+		}
+	}
+	if t.incarnation != r.Incarnation {
+		known := t.incarnation != ""
+		t.incarnation = r.Incarnation
+		t.handle.SetIncarnation(r.Incarnation)
+		t.since = now
+		t.cold = r.Cold
+		t.selfLeaving = r.Leaving
+		t.holdings = nil
+		if known {
+			c.o.Event("targetRestarted", t.handle.Info().ID, "incarnation "+r.Incarnation)
+		}
+		c.effects.Push = true
+		c.noteLeaving(t, "its own signal")
+	}
+	if t.handle.Held() {
+		t.handle.Clear()
+		c.limitsDirty = true
+	}
+	if r.Leaving != t.selfLeaving {
+		t.selfLeaving = r.Leaving
+		c.effects.Push = true
+		c.noteLeaving(t, "its own signal")
+	}
+	if r.Cold && !t.cold && now.Sub(t.since) > c.warmTime(t) {
+		c.markCold(t, now, "reported")
+	}
+	if !r.Cold && t.cold && now.Sub(t.since) > c.warmTime(t) {
+		t.cold = false
+		c.touch(t)
+	}
+	if r.Holdings != nil && !slices.Equal(r.Holdings, t.holdings) {
+		t.holdings = slices.Clone(r.Holdings)
+		c.touch(t)
+	}
+}
+
+func (c *Control) row(h *cowsliproute.Target) *target {
+	n, ok := c.targetAt[h.Info().ID]
+	if !ok || c.targets[n].handle != h {
+		return nil
+	}
+	return &c.targets[n]
+}
+
+func (c *Control) warmTime(t *target) time.Duration {
+	s, ok := c.config.Service(t.handle.Info().Service)
+	if !ok {
+		return 0
+	}
+	return s.WarmTime()
+}
+
+// DueProbes lists the targets to ask for a report: those whose connection
+// ended, and those of which none came for a while.
+func (c *Control) DueProbes(now time.Time) []*cowsliproute.Target {
+	var d []*cowsliproute.Target
+	for i := range c.targets {
+		t := &c.targets[i]
+		if t.handle.Held() || now.Sub(t.reported) >= reportInterval || t.holdings == nil {
+			d = append(d, t.handle)
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/cowslipcontrol/service.go
@@ -0,0 +1,203 @@
+package cowslipcontrol
+
+import (
+	"cmp"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"cowslipflow/cowslipconfig"
+	"cowslipflow/cowsliproute"
+	"cowslipflow/cowsliptarget"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Constants of the latency windows behind hedging and of the retry budget.
+const (
+	latencyWindow   = 5 * time.Second
+	hedgeQuantile   = 90
+	slowQuantile    = 95
+	hedgeSamples    = 100
+	minHedgeAfter   = time.Millisecond
+	hedgeFirstShare = 4 // without samples: a quarter of the deadline
+	maxLatency      = time.Minute
+	startBudget     = 5 // retries allowed before the first answers
+)
+
+// service is a row of the table of services.
+type service struct {
+	config    cowslipconfig.Service
+	budget    *cowsliproute.Budget
+	limiter   *cowsliproute.Limiter
+	canary    *atomic.Bool
+	snapshots []cowsliproute.Snapshot
+	latency   *latencies
+	routes    map[string]*latencies // of the version that serves, by route
+	hedge     time.Duration
+	rotated   time.Time
+}
+
+// latencies are two windows of samples, in microseconds.
+type latencies struct {
+	now, before *hdrhistogram.Histogram
+}
+
+func newLatencies() *latencies {
+	f := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxLatency.Microseconds(), 2) }
+	return &latencies{now: f(), before: f()}
+}
+
+func (l *latencies) add(d time.Duration) {
+	// A value over the highest trackable one is counted as that one.
+	_ = l.now.RecordValue(min(max(d, time.Microsecond), maxLatency).Microseconds())
+}
+
+func (l *latencies) rotate() {
+	l.now, l.before = l.before, l.now
+	l.now.Reset()
+}
+
+// quantile gives the larger of the two windows' quantiles, 0 with too few
+// samples.
+func (l *latencies) quantile(q float64) time.Duration {
+	h := l.before
+	if h.TotalCount() < hedgeSamples {
+		h = l.now
+	}
+	if h.TotalCount() < hedgeSamples {
+		return 0
+	}
+	return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// applyServices brings the table of services in line with the configuration.
+func (c *Control) applyServices() {
+	keep := map[string]bool{}
+	for _, s := range c.config.Services() {
+		keep[s.Name()] = true
+		r := c.services[s.Name()]
+		if r == nil {
+			r = &service{budget: &cowsliproute.Budget{}, limiter: &cowsliproute.Limiter{}, canary: &atomic.Bool{}, latency: newLatencies(), routes: map[string]*latencies{}}
+			r.budget.Earn(startBudget)
+			if c.o.NoAdmission {
+				r.limiter.Disable()
+			}
+			c.services[s.Name()] = r
+		}
+		r.config = s
+		r.hedge = firstHedge(s)
+		c.markTargets(s.Name())
+	}
+	for n := range c.services {
+		if !keep[n] {
+			delete(c.services, n)
+		}
+	}
+}
+
+func firstHedge(s cowslipconfig.Service) time.Duration { return s.Deadline() / hedgeFirstShare }
+
+func (c *Control) observeService(s Sample) {
+	i := s.Target.Info()
+	r := c.services[i.Service]
+	if r == nil {
+		return
+	}
+	switch s.Outcome {
+	case cowsliptarget.Shed, cowsliptarget.Expired:
+		r.limiter.Overloaded(s.At)
+	case cowsliptarget.OK:
+		r.latency.add(s.Latency)
+		if i.Version == r.config.Version() {
+			l := r.routes[s.Route]
+			if l == nil && len(r.routes) < maxRoutes {
+				l = newLatencies()
+				r.routes[s.Route] = l
+			}
+			if l != nil {
+				l.add(s.Latency)
+			}
+		}
+	}
+}
+
+// runLatency turns the windows and derives when to hedge.
+func (c *Control) runLatency(now time.Time) {
+	for n, s := range c.services {
+		if now.Sub(s.rotated) < latencyWindow {
+			continue
+		}
+		s.rotated = now
+		h := firstHedge(s.config)
+		if q := s.latency.quantile(hedgeQuantile); q > 0 {
+			h = min(max(q, minHedgeAfter), h)
+		}
+		s.latency.rotate()
+		for _, l := range s.routes {
+			l.rotate()
+		}
+		if h != s.hedge {
+			s.hedge = h
+			c.markService(n)
+		}
+	}
+}
+
+// buildSnapshots groups the holdings of a service's usable targets by index
+// version, the best version first: more of the key space, then newer.
+func (c *Control) buildSnapshots(name string) []cowsliproute.Snapshot {
+	type key struct {
+		version uint64
+		lo, hi  uint32
+	}
+	parts := map[key][]*cowsliproute.Target{}
+	for i := range c.targets {
+		t := &c.targets[i]
+		if t.handle.Info().Service != name || !c.serving(t) {
+			continue
+		}
+		for _, h := range t.holdings {
+			if h.Lo < h.Hi && h.Hi <= cowsliptarget.KeySpace {
+				k := key{h.IndexVersion, h.Lo, h.Hi}
+				parts[k] = append(parts[k], t.handle)
+			}
+		}
+	}
+	by := map[uint64][]cowsliproute.Part{}
+	for k, r := range parts {
+		by[k.version] = append(by[k.version], cowsliproute.Part{Lo: k.lo, Hi: k.hi, Replicas: r})
+	}
+	var s []cowsliproute.Snapshot
+	for v, p := range by {
+		s = append(s, cowsliproute.Snapshot{IndexVersion: v, Parts: disjoint(p)})
+	}
+	slices.SortFunc(s, func(a, b cowsliproute.Snapshot) int {
+		return cmp.Or(cmp.Compare(covered(b), covered(a)), cmp.Compare(b.IndexVersion, a.IndexVersion))
+	})
+	return s
+}
+
+// disjoint orders parts and leaves out those that overlap one with more
+// replicas, which a target with a wrong shard map would report.
+func disjoint(p []cowsliproute.Part) []cowsliproute.Part {
+	slices.SortFunc(p, func(a, b cowsliproute.Part) int {
+		return cmp.Or(cmp.Compare(len(b.Replicas), len(a.Replicas)), cmp.Compare(a.Lo, b.Lo), cmp.Compare(a.Hi, b.Hi))
+	})
+	var d []cowsliproute.Part
+	for _, x := range p {
+		if !slices.ContainsFunc(d, func(y cowsliproute.Part) bool { return x.Lo < y.Hi && y.Lo < x.Hi }) {
+			d = append(d, x)
+		}
+	}
+	slices.SortFunc(d, func(a, b cowsliproute.Part) int { return cmp.Compare(a.Lo, b.Lo) })
+	return d
+}
+
+func covered(s cowsliproute.Snapshot) uint32 {
+	var n uint32
+	for _, p := range s.Parts {
+		n += p.Hi - p.Lo
+	}
+	return n
+}
--- /dev/null
+++ b/cowslipentry/caller.go
@@ -0,0 +1,172 @@
+package cowslipentry
+
+import (
+	"context"
+	"time"
+
+	"cowslipflow/cowsliprecord"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+)
+
+// Default routes, of calls that name none.
+const (
+	defaultQueryRoute  = "search"
+	defaultRecordRoute = "record"
+	defaultPriority    = 5
+)
+
+// QueryRequest is the body of POST /v1/query.
+type QueryRequest struct {
+	Service        string `json:"service"`
+	Route          string `json:"route"` // "search" if empty
+	Query          string `json:"query"`
+	Class          string `json:"class"`          // of the caller; sets deadline and priority
+	DeadlineMillis int64  `json:"deadlineMillis"` // over the class's and the service's
+}
+
+// QueryAnswer is the answer to POST /v1/query.
+type QueryAnswer struct {
+	ID       string          `json:"id"`
+	Revision uint64          `json:"revision"`
+	Complete bool            `json:"complete"` // every service's answer covers its whole key space
+	Answers  []ServiceAnswer `json:"answers"`
+}
+
+// RecordRequest is the body of POST /v1/record.
+type RecordRequest struct {
+	Service        string `json:"service"`
+	Route          string `json:"route"` // "record" if empty
+	Key            string `json:"key"`   // of the caller's own; a repeated key is one request
+	Body           string `json:"body"`
+	Class          string `json:"class"`
+	DeadlineMillis int64  `json:"deadlineMillis"`
+}
+
+// RecordAnswer is the answer to POST /v1/record for a request that ran.
+type RecordAnswer struct {
+	ID       string `json:"id"`
+	Result   string `json:"result"`
+	Repeated bool   `json:"repeated"` // the result is that of an earlier call with this key
+}
+
+func (e *Entry) callerServer() *server.Hertz {
+	h := newServer(e.o.Callers, e.o.CallersTLS)
+	h.GET("/v1/ready", e.handleReady)
+	h.POST("/v1/query", e.handleQuery)
+	h.POST("/v1/record", e.handleRecord)
+	return h
+}
+
+// handleReady tells the balancer whether to send new requests here.
+func (e *Entry) handleReady(_ context.Context, c *app.RequestContext) {
+	if e.draining.Load() || !e.ready.Load() {
+		c.JSON(503, map[string]bool{"ready": false})
+		return
+	}
+	c.JSON(200, map[string]bool{"ready": true})
+}
+
+func (e *Entry) handleQuery(ctx context.Context, c *app.RequestContext) {
+	e.requests.Add(1)
+	defer e.requests.Done()
+	var q QueryRequest
+	if r := decode(c, &q); r != nil {
+		sendRefusal(c, r)
+		return
+	}
+	x, r := e.newCall(q.Service, q.Class, q.DeadlineMillis)
+	if r != nil {
+		sendRefusal(c, r)
+		return
+	}
+	x.route, x.text = orElse(q.Route, defaultQueryRoute), q.Query
+	l, r := e.search(ctx, x, q.Service)
+	if r != nil {
+		sendRefusal(c, r)
+		return
+	}
+	a := QueryAnswer{ID: x.id, Revision: x.view.Revision(), Complete: true, Answers: l}
+	for _, s := range l {
+		a.Complete = a.Complete && len(s.Coverage.Missing) == 0
+	}
+	e.metrics.observe(e.clock.Since(x.start), a.Complete)
+	c.JSON(200, a)
+}
+
+func (e *Entry) handleRecord(ctx context.Context, c *app.RequestContext) {
+	e.requests.Add(1)
+	defer e.requests.Done()
+	var q RecordRequest
+	if r := decode(c, &q); r != nil {
+		sendRefusal(c, r)
+		return
+	}
+	x, r := e.newCall(q.Service, q.Class, q.DeadlineMillis)
+	if r != nil {
+		sendRefusal(c, r)
+		return
+	}
+	x.route, x.text = orElse(q.Route, defaultRecordRoute), q.Body
+	// A caller that goes away does not cancel a request that may have run.
+	a, r := e.record(context.WithoutCancel(ctx), x, q.Service, q.Key)
+	if r == nil {
+		r = verdictRefusal(a.Verdict)
+	}
+	if r != nil {
+		sendRefusal(c, r)
+		return
+	}
+	e.metrics.records.Add(1)
+	c.JSON(200, RecordAnswer{ID: x.id, Result: a.Result, Repeated: a.Repeated})
+}
+
+func verdictRefusal(v cowsliprecord.Verdict) *Refusal {
+	switch v {
+	case cowsliprecord.NotRun:
+		return refuse(CodeNotRun, "the request did not run; it may be sent again")
+	case cowsliprecord.Unknown:
+		return refuse(CodeUnknown, "the request may have run")
+	case cowsliprecord.KeyReused:
+		return refuse(CodeKeyReused, "the key belongs to a different request; this one did not run")
+	}
+	return nil
+}
+
+// newCall takes the view for a request and settles its deadline and priority.
+func (e *Entry) newCall(service, class string, deadlineMillis int64) (call, *Refusal) {
+	v := e.view.Load()
+	if v == nil || v.Revision() == 0 {
+		return call{}, refuse(CodeUnavailable, "no configuration is in force yet")
+	}
+	s := v.Service(service)
+	if s == nil {
+		return call{}, refuse(CodeUnknownService, "no service "+service+" in the configuration")
+	}
+	x := call{id: newID(), view: v, start: e.clock.Now(), deadline: s.Config().Deadline(), priority: defaultPriority}
+	if class != "" {
+		k, ok := v.Class(class)
+		if !ok {
+			return call{}, refuse(CodeUnknownClass, "no class "+class+" in the configuration")
+		}
+		x.priority = k.Priority()
+		if k.Deadline() > 0 {
+			x.deadline = k.Deadline()
+		}
+	}
+	if deadlineMillis < 0 {
+		return call{}, refuse(CodeBadRequest, "deadlineMillis: must not be negative")
+	}
+	if deadlineMillis > 0 {
+		x.deadline = time.Duration(deadlineMillis) * time.Millisecond
+	}
+	return x, nil
+}
+
+func orElse(s, otherwise string) string {
+	if s == "" {
+		return otherwise
+	}
+	return s
+}
--- /dev/null
+++ b/cowslipentry/loop.go
@@ -0,0 +1,93 @@
+package cowslipentry
+
+import (
+	"context"
+	"time"
+
+	"cowslipflow/cowslipcontrol"
+	"cowslipflow/cowslipmessage"
+)
+
+// controlLoop owns the control state: it runs commands between ticks, and each
+// tick takes in the samples of the traffic and publishes a view.
+func (e *Entry) controlLoop() {
+	t := e.clock.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-e.life.Done():
+			return
+		case f := <-e.commands:
+			f(e.clock.Now(), e.control)
+		case <-t.C():
+			e.tick()
+		}
+	}
+}
+
+func (e *Entry) tick() {
+	for range len(e.samples) {
+		e.control.Observe(<-e.samples)
+	}
+	n := e.clock.Now()
+	v, x := e.control.Tick(n)
+	e.view.Store(v)
+	e.ready.Store(v.Revision() > 0)
+	e.metrics.ticks.Add(1)
+	e.metrics.tickNanos.Add(int64(e.clock.Since(n)))
+	if x.Push {
+		select {
+		case e.push <- struct{}{}:
+		default:
+		}
+	}
+	if x.Repair {
+		a := e.control.Accepted()
+		e.runLater(func(ctx context.Context) { e.repair(ctx, a) })
+	}
+	if len(x.Outcomes) > 0 {
+		e.recordOutcomes(x.Outcomes)
+	}
+}
+
+// do runs f on the control state and waits for it. It tells whether f ran.
+func (e *Entry) do(f func(now time.Time, c *cowslipcontrol.Control)) bool {
+	done := make(chan struct{})
+	g := func(now time.Time, c *cowslipcontrol.Control) {
+		f(now, c)
+		close(done)
+	}
+	select {
+	case e.commands <- g:
+	case <-e.life.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-e.life.Done():
+		return false
+	}
+}
+
+func (e *Entry) sample(s cowslipcontrol.Sample) {
+	select {
+	case e.samples <- s:
+	default:
+		e.metrics.samplesLost.Add(1)
+	}
+}
+
+// recordOutcomes writes the ends of moves, one task each at a time.
+func (e *Entry) recordOutcomes(l []*cowslipmessage.Outcome) {
+	for _, o := range l {
+		if _, busy := e.probing.LoadOrStore("outcome/"+o.GetMove(), true); busy {
+			continue
+		}
+		e.runLater(func(ctx context.Context) {
+			e.recordOutcome(ctx, o)
+			e.sleep(ctx, outcomePause)
+			e.probing.Delete("outcome/" + o.GetMove())
+		})
+	}
+}
--- /dev/null
+++ b/cowslipentry/metrics.go
@@ -0,0 +1,76 @@
+package cowslipentry
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cloudwego/hertz/pkg/app"
+)
+
+const (
+	maxLatencyMicros = 60_000_000
+	latencyDigits    = 2
+)
+
+// Metrics are the counters of one instance, served at /debug/vars.
+type Metrics struct {
+	vars        *expvar.Map
+	queries     *expvar.Int
+	incomplete  *expvar.Int
+	records     *expvar.Int
+	refused     *expvar.Int // for load
+	needed      *expvar.Int // sub-requests that the answers needed
+	sent        *expvar.Int // sub-requests sent, with retries and hedges
+	crashes     *expvar.Int
+	probes      *expvar.Int
+	exchanges   *expvar.Int
+	ticks       *expvar.Int
+	tickNanos   *expvar.Int
+	samplesLost *expvar.Int
+	poolFull    *expvar.Int
+
+	mu      sync.Mutex
+	latency *hdrhistogram.Histogram
+}
+
+func newMetrics(id string) *Metrics {
+	m := &Metrics{vars: new(expvar.Map).Init(), latency: hdrhistogram.New(1, maxLatencyMicros, latencyDigits)}
+	n := func(name string) *expvar.Int {
+		v := new(expvar.Int)
+		m.vars.Set(name, v)
+		return v
+	}
+	s := new(expvar.String)
+	s.Set(id)
+	m.vars.Set("instance", s)
+	m.queries, m.incomplete, m.records, m.refused = n("queries"), n("queriesIncomplete"), n("records"), n("refusedForLoad")
+	m.needed, m.sent, m.crashes = n("subRequestsNeeded"), n("subRequestsSent"), n("targetCrashes")
+	m.probes, m.exchanges, m.ticks, m.tickNanos = n("probes"), n("exchanges"), n("ticks"), n("tickNanos")
+	m.samplesLost, m.poolFull = n("samplesLost"), n("poolFull")
+	m.vars.Set("queryLatencyMicros", expvar.Func(m.quantiles))
+	return m
+}
+
+func (m *Metrics) observe(d time.Duration, complete bool) {
+	m.queries.Add(1)
+	if !complete {
+		m.incomplete.Add(1)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// A value over the highest trackable one is counted as that one.
+	_ = m.latency.RecordValue(min(d.Microseconds(), maxLatencyMicros))
+}
+
+func (m *Metrics) quantiles() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return map[string]int64{"p50": m.latency.ValueAtQuantile(50), "p99": m.latency.ValueAtQuantile(99), "p999": m.latency.ValueAtQuantile(99.9)}
+}
+
+func (e *Entry) handleVars(_ context.Context, c *app.RequestContext) {
+	c.Data(200, "application/json", []byte(e.metrics.vars.String()))
+}
--- /dev/null
+++ b/cowslipentry/probe.go
@@ -0,0 +1,47 @@
+package cowslipentry
+
+import (
+	"context"
+	"time"
+
+	"cowslipflow/cowslipcontrol"
+	"cowslipflow/cowsliproute"
+	"cowslipflow/cowsliptarget"
+)
+
+const (
+	probeInterval = 100 * time.Millisecond
+	probeTimeout  = time.Second
+)
+
+// probeLoop asks targets for a report where none came with an answer lately.
+func (e *Entry) probeLoop() {
+	for e.life.Err() == nil {
+		var due []*cowsliproute.Target
+		e.do(func(now time.Time, c *cowslipcontrol.Control) { due = c.DueProbes(now) })
+		for _, t := range due {
+			e.startProbe(t)
+		}
+		e.sleep(e.life, probeInterval)
+	}
+}
+
+func (e *Entry) startProbe(t *cowsliproute.Target) {
+	if _, busy := e.probing.LoadOrStore(t, true); busy {
+		return
+	}
+	err := e.pool.Submit(func() {
+		defer e.probing.Delete(t)
+		ctx, cancel := context.WithTimeout(e.life, probeTimeout)
+		defer cancel()
+		e.metrics.probes.Add(1)
+		r, o := e.client.Status(ctx, t.Info().Addr)
+		if o != cowsliptarget.OK {
+			return
+		}
+		e.do(func(now time.Time, c *cowslipcontrol.Control) { c.Reported(now, t, r) })
+	})
+	if err != nil {
+		e.probing.Delete(t)
+	}
+}
--- /dev/null
+++ b/cowslipentry/record.go
@@ -0,0 +1,107 @@
+package cowslipentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"cowslipflow/cowslipconfig"
+	"cowslipflow/cowslipcontrol"
+	"cowslipflow/cowsliprecord"
+	"cowslipflow/cowsliproute"
+	"cowslipflow/cowsliptarget"
+)
+
+// Constants of sending a non-idempotent request.
+const (
+	maxRecordAttempts = 4
+	roomPause         = 2 * time.Millisecond
+	endMarginShare    = 20 // the answer is due 1/20 of the deadline early
+)
+
+// record runs a non-idempotent request at most once.
+func (e *Entry) record(ctx context.Context, c call, service, key string) (cowsliprecord.Answer, *Refusal) {
+	s := c.view.Service(service)
+	if s == nil {
+		return cowsliprecord.Answer{}, refuse(CodeUnknownService, "no service "+service+" in the configuration")
+	}
+	if s.Config().Kind() != cowslipconfig.Narrow {
+		return cowsliprecord.Answer{}, refuse(CodeBadRequest, "service "+service+" is not narrow; records go to narrow services")
+	}
+	digest := fingerprint(service, c.route, c.text)
+	if c.view.Crasher(digest) == cowsliproute.Quarantined {
+		return cowsliprecord.Answer{}, refuse(CodeQuarantined, "the request has crashed targets and is held")
+	}
+	if len(s.Snapshots()) == 0 {
+		return cowsliprecord.Answer{}, refuse(CodeUnavailable, "service "+service+" has no target that may be asked")
+	}
+	s.Limiter().Admit(c.start, 9)
+	ctx, cancel := context.WithDeadline(ctx, c.start.Add(c.deadline-c.deadline/endMarginShare))
+	defer cancel()
+	send := func(ctx context.Context) (string, cowsliptarget.Outcome) { return e.sendRecord(ctx, c, s, digest) }
+	if key == "" {
+		return cowsliprecord.Unkeyed(send(ctx)), nil
+	}
+	if !e.claims.AllowN(c.start, 1) {
+		e.metrics.refused.Add(1)
+		return cowsliprecord.Answer{}, refuse(CodeOverloaded, "the rate of keyed requests is at its limit")
+	}
+	return e.recorder.Run(ctx, cowsliprecord.Request{ID: c.id, Service: service, Key: key, Fingerprint: digest}, send), nil
+}
+
+// sendRecord asks one target after the other until one does not say that the
+// request did not run.
+func (e *Entry) sendRecord(ctx context.Context, c call, s *cowsliproute.Service, digest uint64) (string, cowsliptarget.Outcome) {
+	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	prefer, fallback, release := s.Versions(c.route, r.Float64())
+	defer release()
+	var tried []*cowsliproute.Target
+	last := cowsliptarget.NotSent
+	for n := 0; n < maxRecordAttempts && ctx.Err() == nil; {
+		t := e.pickRecord(c, s, prefer, fallback, tried, r)
+		if t == nil {
+			if !e.sleep(ctx, roomPause) {
+				break
+			}
+			continue
+		}
+		n++
+		tried = append(tried, t)
+		v, o := e.sendRecordTo(ctx, c, s, t, n, digest)
+		if !o.NotRun() {
+			return v, o
+		}
+		last = o
+	}
+	return "", last
+}
+
+func (e *Entry) pickRecord(c call, s *cowsliproute.Service, prefer, fallback string, tried []*cowsliproute.Target, r *rand.Rand) *cowsliproute.Target {
+	scope := c.view.Scope(e.clock.Now())
+	if scope == cowsliproute.ScopeNone {
+		return nil
+	}
+	p := s.Snapshots()[0].Parts[0]
+	o := cowsliproute.PickOptions{Version: prefer, Own: scope == cowsliproute.ScopeOwn, Except: tried}
+	t := c.view.Pick(p.Replicas, o, r)
+	if t == nil && fallback != "" {
+		o.Version = fallback
+		t = c.view.Pick(p.Replicas, o, r)
+	}
+	return t
+}
+
+func (e *Entry) sendRecordTo(ctx context.Context, c call, s *cowsliproute.Service, t *cowsliproute.Target, n int, digest uint64) (string, cowsliptarget.Outcome) {
+	left := int64(1)
+	if d, ok := ctx.Deadline(); ok {
+		left = max(time.Until(d).Milliseconds(), 1)
+	}
+	start := e.clock.Now()
+	v, report, o := e.client.Record(ctx, t.Info().Addr, cowsliptarget.Record{ID: c.id + "." + strconv.Itoa(n), Service: s.Name(), Route: c.route, Body: c.text, DeadlineMillis: left})
+	x := cowslipcontrol.Sample{Target: t, Route: c.route, Outcome: o, Report: report, Latency: e.clock.Since(start), At: e.clock.Now()}
+	e.metrics.needed.Add(1)
+	e.metrics.sent.Add(1)
+	e.settle(ctx, &x, digest, c.id)
+	return v.Result, o
+}
--- /dev/null
+++ b/cowslipentry/refusal.go
@@ -0,0 +1,56 @@
+package cowslipentry
+
+import "time"
+
+// Code names why a call got no answer.
+type Code string
+
+// The codes of a Refusal.
+const (
+	CodeBadRequest     Code = "badRequest"
+	CodeUnauthorized   Code = "unauthorized"
+	CodeUnknownService Code = "unknownService"
+	CodeUnknownClass   Code = "unknownClass"
+	CodeQuarantined    Code = "quarantined"
+	CodeOverloaded     Code = "overloaded"
+	CodeUnavailable    Code = "unavailable"
+	CodeNotRun         Code = "notRun"
+	CodeUnknown        Code = "unknown"
+	CodeKeyReused      Code = "keyReused"
+	CodeInvalidConfig  Code = "invalidConfig"
+	CodeConflict       Code = "conflict"
+	CodePlatformDown   Code = "platformDown"
+)
+
+// retryAfter is what a caller is told to wait after a refusal for load.
+const retryAfter = 500 * time.Millisecond
+
+var codeStatus = map[Code]int{
+	CodeBadRequest: 400, CodeUnauthorized: 401, CodeUnknownService: 404, CodeUnknownClass: 400, CodeQuarantined: 422,
+	CodeOverloaded: 503, CodeUnavailable: 503, CodeNotRun: 503, CodeUnknown: 504, CodeKeyReused: 409,
+	CodeInvalidConfig: 422, CodeConflict: 409, CodePlatformDown: 503,
+}
+
+// Refusal is the error of a call as callers and operators receive it. Ran is
+// "notRun" where it is certain that the request did not run, else "unknown".
+type Refusal struct {
+	Code             Code   `json:"code"`
+	Message          string `json:"message"`
+	Ran              string `json:"ran"`
+	RetryAfterMillis int64  `json:"retryAfterMillis,omitempty"`
+	Details          any    `json:"details,omitempty"`
+}
+
+// Error gives the code and the message.
+func (r *Refusal) Error() string { return string(r.Code) + ": " + r.Message }
+
+func refuse(c Code, message string) *Refusal {
+	r := &Refusal{Code: c, Message: message, Ran: "notRun"}
+	switch c {
+	case CodeOverloaded, CodeUnavailable, CodeNotRun, CodePlatformDown:
+		r.RetryAfterMillis = retryAfter.Milliseconds()
+	case CodeUnknown:
+		r.Ran = "unknown"
+	}
+	return r
+}
--- /dev/null
+++ b/cowslipentry/search.go
@@ -0,0 +1,239 @@
+package cowslipentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"cowslipflow/cowslipconfig"
+	"cowslipflow/cowslipcontrol"
+	"cowslipflow/cowslipquery"
+	"cowslipflow/cowsliproute"
+	"cowslipflow/cowsliptarget"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+)
+
+// crashProbeTimeout bounds the question whether a target whose connection
+// ended without an answer has started anew.
+const crashProbeTimeout = 100 * time.Millisecond
+
+func newID() string { return uuid.NewString() }
+
+// fingerprint tells a request that is sent again from others.
+func fingerprint(service, route, text string) uint64 {
+	return xxhash.Sum64String(service + "\x00" + route + "\x00" + text)
+}
+
+// call is one request of a caller, with what was decided for it.
+type call struct {
+	id       string
+	view     *cowsliproute.View
+	route    string
+	text     string
+	start    time.Time
+	deadline time.Duration
+	priority int
+}
+
+// ServiceAnswer is the part of an answer that one service gave.
+type ServiceAnswer struct {
+	Service string `json:"service"`
+	cowslipquery.Result
+}
+
+// search answers a query over the services that it crosses.
+func (e *Entry) search(ctx context.Context, c call, service string) ([]ServiceAnswer, *Refusal) {
+	l, r := e.crossed(c, service)
+	if r != nil {
+		return nil, r
+	}
+	verdict := cowsliproute.Harmless
+	for _, s := range l {
+		verdict = max(verdict, c.view.Crasher(fingerprint(s.Name(), c.route, c.text)))
+	}
+	if verdict == cowsliproute.Quarantined {
+		return nil, refuse(CodeQuarantined, "the request has crashed targets and is held")
+	}
+	for _, s := range l {
+		if len(s.Snapshots()) == 0 {
+			return nil, refuse(CodeUnavailable, "service "+s.Name()+" has no target that may be asked")
+		}
+		if !s.Limiter().Admit(c.start, c.priority) {
+			e.metrics.refused.Add(1)
+			return nil, refuse(CodeOverloaded, "service "+s.Name()+" is at its limit")
+		}
+	}
+	a := make([]ServiceAnswer, len(l))
+	var w sync.WaitGroup
+	for i, s := range l {
+		w.Go(func() {
+			a[i] = ServiceAnswer{Service: s.Name(), Result: e.searchService(ctx, c, s, verdict == cowsliproute.Suspect)}
+		})
+	}
+	w.Wait()
+	return a, nil
+}
+
+// crossed lists the services with targets that a query of a service crosses:
+// itself, or, for a composite one, all that it depends on.
+func (e *Entry) crossed(c call, name string) ([]*cowsliproute.Service, *Refusal) {
+	s := c.view.Service(name)
+	if s == nil {
+		return nil, refuse(CodeUnknownService, "no service "+name+" in the configuration")
+	}
+	if s.Config().Kind() != cowslipconfig.Composite {
+		return []*cowsliproute.Service{s}, nil
+	}
+	var l []*cowsliproute.Service
+	seen := map[string]bool{}
+	var visit func(string)
+	visit = func(n string) {
+		x := c.view.Service(n)
+		if x == nil || seen[n] {
+			return
+		}
+		seen[n] = true
+		if x.Config().Kind() != cowslipconfig.Composite {
+			l = append(l, x)
+			return
+		}
+		for _, d := range x.Config().DependsOn() {
+			visit(d)
+		}
+	}
+	visit(name)
+	return l, nil
+}
+
+// ended is the end of an attempt.
+type ended struct {
+	attempt int
+	reply   cowslipquery.Reply
+}
+
+// run is one query under way: the state machine, and the attempts that it
+// started.
+type run struct {
+	*Entry
+	call    call
+	service *cowsliproute.Service
+	query   *cowslipquery.Query
+	ends    chan ended
+	cancels map[int]context.CancelFunc
+}
+
+func (e *Entry) searchService(ctx context.Context, c call, s *cowsliproute.Service, single bool) cowslipquery.Result {
+	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	prefer, fallback, release := s.Versions(c.route, r.Float64())
+	defer release()
+	q := cowslipquery.New(cowslipquery.Options{
+		ID: c.id, View: c.view, Service: s, Route: c.route, Text: c.text, Start: c.start, Deadline: c.deadline,
+		Prefer: prefer, Fallback: fallback, Single: single, NoHedge: e.o.Baseline.NoHedge, Rand: r,
+	})
+	x := &run{Entry: e, call: c, service: s, query: q, ends: make(chan ended, 16), cancels: map[int]context.CancelFunc{}}
+	return x.drive(ctx)
+}
+
+func (r *run) drive(ctx context.Context) cowslipquery.Result {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.act(ctx, r.query.Begin(r.clock.Now()))
+	for !r.query.Done() {
+		n := r.clock.Now()
+		t := time.NewTimer(r.query.Next(n).Sub(n))
+		select {
+		case x := <-r.ends:
+			r.act(ctx, r.query.Ended(r.clock.Now(), x.attempt, x.reply))
+		case <-t.C:
+			r.act(ctx, r.query.Tick(r.clock.Now()))
+		case <-ctx.Done():
+			t.Stop()
+			return r.query.Result()
+		}
+		t.Stop()
+	}
+	x := r.query.Result()
+	r.metrics.needed.Add(int64(x.Needed))
+	r.metrics.sent.Add(int64(x.Sent))
+	if x.Shed == 0 {
+		r.service.Limiter().Answered(r.clock.Now())
+	}
+	return x
+}
+
+func (r *run) act(ctx context.Context, l []cowslipquery.Action) {
+	for _, a := range l {
+		if a.Target == nil {
+			if c := r.cancels[a.Attempt]; c != nil {
+				c()
+			}
+			continue
+		}
+		t, cancel := context.WithTimeout(ctx, a.Timeout)
+		r.cancels[a.Attempt] = cancel
+		if err := r.pool.Submit(func() { r.attempt(t, cancel, a) }); err != nil {
+			cancel()
+			a.Target.Release()
+			r.metrics.poolFull.Add(1)
+			go r.end(ended{attempt: a.Attempt, reply: cowslipquery.Reply{Outcome: cowsliptarget.NotSent}})
+		}
+	}
+}
+
+// end hands over the end of an attempt, unless the query is over.
+func (r *run) end(x ended) {
+	select {
+	case r.ends <- x:
+	case <-r.life.Done():
+	case <-time.After(r.call.deadline):
+	}
+}
+
+func (r *run) attempt(ctx context.Context, cancel context.CancelFunc, a cowslipquery.Action) {
+	defer cancel()
+	n := r.clock.Now()
+	p, report, o := r.client.Search(ctx, a.Target.Info().Addr, a.Search)
+	s := cowslipcontrol.Sample{Target: a.Target, Route: r.call.route, Outcome: o, Report: report, Latency: r.clock.Since(n), At: r.clock.Now()}
+	r.settle(ctx, &s, fingerprint(r.service.Name(), r.call.route, r.call.text), r.call.id)
+	r.end(ended{attempt: a.Attempt, reply: cowslipquery.Reply{Outcome: o, Reply: p, Crashed: s.Crashed}})
+}
+
+// settle gives back the room of an ended request and passes on what it tells of
+// its target: a signal of leaving counts at once, and a connection that ended
+// without an answer may mean that the request took the target down.
+func (e *Entry) settle(ctx context.Context, s *cowslipcontrol.Sample, digest uint64, incident string) {
+	t := s.Target
+	if s.Report.Leaving {
+		t.SetLeaving(true)
+	}
+	s.TimedOut = s.Outcome == cowsliptarget.Cancelled && ctx.Err() == context.DeadlineExceeded
+	if s.Outcome == cowsliptarget.OK {
+		t.ObserveLatency(s.Latency)
+	}
+	if s.Outcome == cowsliptarget.Lost {
+		t.Hold()
+		s.Crashed = e.crashed(t)
+	}
+	t.Release()
+	if s.Crashed {
+		e.metrics.crashes.Add(1)
+		i := t.Info()
+		e.do(func(now time.Time, c *cowslipcontrol.Control) {
+			c.Crashed(now, digest, incident, i.Service, i.Version)
+		})
+	}
+	e.sample(*s)
+}
+
+// crashed tells whether a target whose connection ended is gone or has started
+// anew.
+func (e *Entry) crashed(t *cowsliproute.Target) bool {
+	before := t.Incarnation()
+	ctx, cancel := context.WithTimeout(e.life, crashProbeTimeout)
+	defer cancel()
+	r, o := e.client.Status(ctx, t.Info().Addr)
+	return o != cowsliptarget.OK || before != "" && r.Incarnation != before
+}
--- /dev/null
+++ b/cowslippeer/client.go
@@ -0,0 +1,71 @@
+package cowslippeer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+
+	"cowslipflow/cowslipmessage"
+
+	"github.com/juju/errors"
+	"storj.io/drpc/drpcconn"
+)
+
+// Client asks one entry instance, over one connection that it opens when
+// needed. Calls wait for each other. Set Addr before the first call. It is safe
+// for concurrent use.
+type Client struct {
+	Addr string
+
+	mu   sync.Mutex
+	conn *drpcconn.Conn
+}
+
+// Exchange swaps state with the peer.
+func (c *Client) Exchange(ctx context.Context, m *cowslipmessage.State) (*cowslipmessage.State, error) {
+	return call(ctx, c, func(p cowslipmessage.DRPCPeerClient) (*cowslipmessage.State, error) { return p.Exchange(ctx, m) })
+}
+
+// Events asks for the peer's part of the time line.
+func (c *Client) Events(ctx context.Context, r *cowslipmessage.EventsRequest) (*cowslipmessage.EventsReply, error) {
+	return call(ctx, c, func(p cowslipmessage.DRPCPeerClient) (*cowslipmessage.EventsReply, error) { return p.Events(ctx, r) })
+}
+
+// Close closes the connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drop()
+}
+
+// IsRefused tells whether an error says that the peer's host answered that no
+// process listens.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+func (c *Client) drop() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+func call[T any](ctx context.Context, c *Client, f func(cowslipmessage.DRPCPeerClient) (T, error)) (T, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var z T
+	if c.conn == nil {
+		var d net.Dialer
+		n, err := d.DialContext(ctx, "tcp", c.Addr)
+		if err != nil {
+			return z, errors.Annotate(err, "cowslippeer: dial")
+		}
+		c.conn = drpcconn.New(n)
+	}
+	r, err := f(cowslipmessage.NewDRPCPeerClient(c.conn))
+	if err != nil {
+		c.drop()
+		return z, errors.Annotate(err, "cowslippeer: call")
+	}
+	return r, nil
+}
--- /dev/null
+++ b/cowslippeer/server.go
@@ -0,0 +1,41 @@
+package cowslippeer
+
+import (
+	"context"
+	"net"
+
+	"cowslipflow/cowslipmessage"
+
+	"github.com/juju/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+)
+
+// Server answers other entry instances. Both functions must be set before
+// Serve and be safe for concurrent use.
+type Server struct {
+	OnExchange func(context.Context, *cowslipmessage.State) (*cowslipmessage.State, error)
+	OnEvents   func(context.Context, *cowslipmessage.EventsRequest) (*cowslipmessage.EventsReply, error)
+}
+
+// Exchange serves the protocol's Exchange.
+func (s *Server) Exchange(ctx context.Context, m *cowslipmessage.State) (*cowslipmessage.State, error) {
+	return s.OnExchange(ctx, m)
+}
+
+// Events serves the protocol's Events.
+func (s *Server) Events(ctx context.Context, r *cowslipmessage.EventsRequest) (*cowslipmessage.EventsReply, error) {
+	return s.OnEvents(ctx, r)
+}
+
+// Serve accepts connections until ctx ends, then closes l.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	m := drpcmux.New()
+	if err := cowslipmessage.DRPCRegisterPeer(m, s); err != nil {
+		return errors.Annotate(err, "cowslippeer: register")
+	}
+	if err := drpcserver.New(m).Serve(ctx, l); err != nil && ctx.Err() == nil {
+		return errors.Annotate(err, "cowslippeer: serve")
+	}
+	return nil
+}
--- /dev/null
+++ b/cowslipplatform/http.go
@@ -0,0 +1,141 @@
+package cowslipplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// maxReplyBytes bounds a reply: a value of 1 MB in base64 with its envelope,
+// or a list of many small ones.
+const maxReplyBytes = 16 << 20
+
+type httpStore struct {
+	base   string
+	client string
+	http   *http.Client
+}
+
+// NewHTTP returns a Store that speaks the protocol of docs/PLATFORM.md with
+// the server at base, such as "http://127.0.0.1:7600". The client name is sent
+// with each call, for the platform's own accounting.
+func NewHTTP(base, client string) *Store {
+	s := &httpStore{base: base, client: client, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+	return &Store{
+		Get:       s.get,
+		Put:       s.put,
+		Delete:    s.remove,
+		List:      s.list,
+		Watch:     s.watch,
+		Grant:     s.grant,
+		KeepAlive: s.keepAlive,
+		Revoke:    s.revoke,
+		Instances: s.instances,
+	}
+}
+
+func (s *httpStore) get(ctx context.Context, key string) (Value, error) {
+	var v Value
+	err := s.call(ctx, http.MethodGet, "/v1/kv", url.Values{"key": {key}}, nil, &v)
+	return v, err
+}
+
+func (s *httpStore) put(ctx context.Context, w Write) (uint64, error) {
+	var v Value
+	err := s.call(ctx, http.MethodPut, "/v1/kv", nil, w, &v)
+	return v.Revision, err
+}
+
+func (s *httpStore) remove(ctx context.Context, key string, expect uint64) error {
+	q := url.Values{"key": {key}, "expect": {strconv.FormatUint(expect, 10)}}
+	return s.call(ctx, http.MethodDelete, "/v1/kv", q, nil, nil)
+}
+
+func (s *httpStore) list(ctx context.Context, prefix string) ([]Value, error) {
+	var v []Value
+	err := s.call(ctx, http.MethodGet, "/v1/list", url.Values{"prefix": {prefix}}, nil, &v)
+	return v, err
+}
+
+func (s *httpStore) watch(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error) {
+	q := url.Values{"key": {key}, "after": {strconv.FormatUint(after, 10)}, "wait": {wait.String()}}
+	var v Value
+	err := s.call(ctx, http.MethodGet, "/v1/watch", q, nil, &v)
+	return v, err
+}
+
+func (s *httpStore) grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	var v struct{ ID uint64 }
+	err := s.call(ctx, http.MethodPost, "/v1/leases", url.Values{"ttl": {ttl.String()}}, nil, &v)
+	return v.ID, err
+}
+
+func (s *httpStore) keepAlive(ctx context.Context, lease uint64) error {
+	return s.lease(ctx, http.MethodPut, lease)
+}
+
+func (s *httpStore) revoke(ctx context.Context, lease uint64) error {
+	return s.lease(ctx, http.MethodDelete, lease)
+}
+
+func (s *httpStore) lease(ctx context.Context, method string, lease uint64) error {
+	err := s.call(ctx, method, "/v1/leases", url.Values{"id": {strconv.FormatUint(lease, 10)}}, nil, nil)
+	if errors.Is(err, ErrNotFound) {
+		return ErrLeaseGone
+	}
+	return err
+}
+
+func (s *httpStore) instances(ctx context.Context) ([]Instance, error) {
+	var v []Instance
+	err := s.call(ctx, http.MethodGet, "/v1/instances", nil, nil, &v)
+	return v, err
+}
+
+func (s *httpStore) call(ctx context.Context, method, path string, q url.Values, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return errors.Annotate(err, "cowslipplatform: encode")
+		}
+		body = bytes.NewReader(b)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, s.base+path+"?"+q.Encode(), body)
+	if err != nil {
+		return errors.Annotate(err, "cowslipplatform: request")
+	}
+	r.Header.Set("X-Client", s.client)
+	p, err := s.http.Do(r)
+	if err != nil {
+		return errors.Annotate(err, "cowslipplatform: call")
+	}
+	defer p.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(p.Body, maxReplyBytes))
+	if err != nil {
+		return errors.Annotate(err, "cowslipplatform: read")
+	}
+	switch p.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusConflict:
+		return ErrConflict
+	default:
+		return errors.Errorf("cowslipplatform: %s %s: status %d", method, path, p.StatusCode)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		return errors.Annotate(err, "cowslipplatform: decode")
+	}
+	return nil
+}
--- /dev/null
+++ b/cowslipplatform/store.go
@@ -0,0 +1,63 @@
+package cowslipplatform
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Errors of a Store. Any other error means that the outcome is unknown: a
+// write may have taken effect.
+const (
+	// ErrNotFound says that the key does not exist.
+	ErrNotFound = errors.ConstError("cowslipplatform: key not found")
+	// ErrConflict says that the key has another revision than expected, and
+	// that nothing was written.
+	ErrConflict = errors.ConstError("cowslipplatform: revision conflict")
+	// ErrLeaseGone says that the lease has lapsed.
+	ErrLeaseGone = errors.ConstError("cowslipplatform: lease lapsed")
+)
+
+// Value is a key's content. Revision grows with each write of the store and
+// is 0 for a key that does not exist.
+type Value struct {
+	Key      string `json:"key"`
+	Data     []byte `json:"data"`
+	Revision uint64 `json:"revision"`
+}
+
+// Write is one compare-and-swap. Expect is the revision that the key must
+// have, 0 for a key that must not exist yet. A Lease other than 0 removes the
+// key when that lease ends; a TTL other than 0 removes it after that time.
+type Write struct {
+	Key    string        `json:"key"`
+	Data   []byte        `json:"data"`
+	Expect uint64        `json:"expect"`
+	Lease  uint64        `json:"lease,omitempty"`
+	TTL    time.Duration `json:"ttlNanos,omitempty"`
+}
+
+// Instance is one line of the platform's instance list.
+type Instance struct {
+	ID            string `json:"id"`
+	Service       string `json:"service"`
+	Addr          string `json:"addr"`
+	FailureDomain string `json:"failureDomain"`
+	Version       string `json:"version"`
+	Leaving       bool   `json:"leaving"`
+}
+
+// Store is the platform's service. All functions are safe for concurrent use
+// and end with ctx.
+type Store struct {
+	Get       func(ctx context.Context, key string) (Value, error)
+	Put       func(ctx context.Context, w Write) (uint64, error)
+	Delete    func(ctx context.Context, key string, expect uint64) error
+	List      func(ctx context.Context, prefix string) ([]Value, error)
+	Watch     func(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error) // returns the current value once its revision differs from after, or when wait is over
+	Grant     func(ctx context.Context, ttl time.Duration) (uint64, error)
+	KeepAlive func(ctx context.Context, lease uint64) error
+	Revoke    func(ctx context.Context, lease uint64) error
+	Instances func(ctx context.Context) ([]Instance, error)
+}
--- /dev/null
+++ b/cowsliproute/target.go
@@ -0,0 +1,131 @@
+package cowsliproute
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// latencyWeight is the share of a new sample in a target's mean latency: 1/8.
+const latencyWeight = 8
+
+// TargetInfo is what does not change about a target.
+type TargetInfo struct {
+	ID            string
+	Addr          string
+	Service       string
+	FailureDomain string
+	Version       string
+	Slots         int
+}
+
+// Target is the traffic side of a target. It is safe for concurrent use.
+type Target struct {
+	info     TargetInfo
+	limit    atomic.Int64
+	inFlight atomic.Int64
+	load     atomic.Int64
+	latency  atomic.Int64
+	leaving  atomic.Bool
+	held     atomic.Bool
+
+	incarnation atomic.Pointer[string]
+}
+
+// NewTarget makes a target that receives nothing until SetLimit opens it.
+func NewTarget(i TargetInfo) *Target { return &Target{info: i} }
+
+// Info is what does not change about the target.
+func (t *Target) Info() TargetInfo { return t.info }
+
+// SetLimit sets how many requests this process may have in flight at it.
+func (t *Target) SetLimit(n int) { t.limit.Store(int64(n)) }
+
+// Limit is how many requests this process may have in flight at it.
+func (t *Target) Limit() int { return int(t.limit.Load()) }
+
+// InFlight is how many requests this process has in flight at it.
+func (t *Target) InFlight() int { return int(t.inFlight.Load()) }
+
+// Hold stops new requests until the next SetLimit after Clear: its connection
+// ended, so it may have started anew and be cold.
+func (t *Target) Hold() { t.held.Store(true) }
+
+// Clear ends a Hold.
+func (t *Target) Clear() { t.held.Store(false) }
+
+// Held tells whether a Hold is on.
+func (t *Target) Held() bool { return t.held.Load() }
+
+// SetIncarnation notes which run of the target answered last.
+func (t *Target) SetIncarnation(i string) { t.incarnation.Store(&i) }
+
+// Incarnation is the run of the target that answered last, empty if none did.
+func (t *Target) Incarnation() string {
+	if p := t.incarnation.Load(); p != nil {
+		return *p
+	}
+	return ""
+}
+
+// SetLeaving notes whether the target shuts down.
+func (t *Target) SetLeaving(l bool) { t.leaving.Store(l) }
+
+// Leaving tells whether the target shuts down.
+func (t *Target) Leaving() bool { return t.leaving.Load() }
+
+// SetLoad notes the requests that the target reports as running and queued.
+func (t *Target) SetLoad(n int) { t.load.Store(int64(n)) }
+
+// Load is the requests that the target last reported as running and queued.
+func (t *Target) Load() int { return int(t.load.Load()) }
+
+// ObserveLatency adds a sample to the mean latency.
+func (t *Target) ObserveLatency(d time.Duration) {
+	o := t.latency.Load()
+	if o == 0 {
+		t.latency.Store(int64(d))
+		return
+	}
+	t.latency.Store(o + (int64(d)-o)/latencyWeight)
+}
+
+// Latency is the mean latency, 0 before the first sample.
+func (t *Target) Latency() time.Duration { return time.Duration(t.latency.Load()) }
+
+// Acquire takes room for one request, to be given back by Release.
+func (t *Target) Acquire() bool {
+	if t.leaving.Load() || t.held.Load() {
+		return false
+	}
+	if t.inFlight.Add(1) > t.limit.Load() {
+		t.inFlight.Add(-1)
+		return false
+	}
+	return true
+}
+
+// Release gives room back.
+func (t *Target) Release() { t.inFlight.Add(-1) }
+
+// room tells whether Acquire would succeed, without taking.
+func (t *Target) room() bool {
+	return !t.leaving.Load() && !t.held.Load() && t.inFlight.Load() < t.limit.Load()
+}
+
+// idle tells whether the target has a free slot as far as is known.
+func (t *Target) idle() bool {
+	return t.room() && t.cost() < int64(max(t.info.Slots, 1))
+}
+
+// cost is the queue a request would meet, by reported and local load.
+func (t *Target) cost() int64 { return max(t.load.Load(), t.inFlight.Load()) }
+
+// better tells whether t is the better choice of two: by load, weighted by
+// latency once both have samples.
+func (t *Target) better(o *Target) bool {
+	a, b := t.latency.Load(), o.latency.Load()
+	if a == 0 || b == 0 {
+		a, b = 1, 1
+	}
+	return (t.cost()+1)*a < (o.cost()+1)*b
+}
--- /dev/null
+++ b/cowsliproute/view.go
@@ -0,0 +1,121 @@
+package cowsliproute
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cowslipflow/cowslipconfig"
+)
+
+// View is what one tick of the control state publishes. It is immutable.
+type View struct {
+	revision  uint64
+	domain    string
+	freshness *Freshness
+	services  map[string]*Service
+	byAddr    map[string]*Target
+	crashers  map[uint64]Verdict
+	config    *cowslipconfig.Config
+}
+
+// ViewOptions are the content of a View.
+type ViewOptions struct {
+	Revision      uint64
+	FailureDomain string     // this process's own
+	Freshness     *Freshness // shared by all views of a process; nil stands for always confirmed
+	Services      map[string]*Service
+	ByAddr        map[string]*Target
+	Crashers      map[uint64]Verdict
+	Config        *cowslipconfig.Config
+}
+
+// NewView makes a view. It keeps the maps, which must not change any more.
+func NewView(o ViewOptions) *View {
+	return &View{revision: o.Revision, domain: o.FailureDomain, freshness: o.Freshness, services: o.Services, byAddr: o.ByAddr, crashers: o.Crashers, config: o.Config}
+}
+
+// Revision is the configuration in force.
+func (v *View) Revision() uint64 { return v.revision }
+
+// FailureDomain is this process's own.
+func (v *View) FailureDomain() string { return v.domain }
+
+// Scope tells which targets may be asked at now.
+func (v *View) Scope(now time.Time) Scope {
+	if v.freshness == nil {
+		return ScopeAll
+	}
+	return v.freshness.Scope(now)
+}
+
+// Service finds a service, nil if the text lists none of that name.
+func (v *View) Service(name string) *Service { return v.services[name] }
+
+// Class finds a class of callers by name.
+func (v *View) Class(name string) (cowslipconfig.Class, bool) { return v.config.Class(name) }
+
+// Target finds the target at an address, nil if none is known.
+func (v *View) Target(addr string) *Target { return v.byAddr[addr] }
+
+// Crasher tells what is known of requests with this fingerprint.
+func (v *View) Crasher(fingerprint uint64) Verdict { return v.crashers[fingerprint] }
+
+// PickOptions narrow a choice of replica.
+type PickOptions struct {
+	Version string    // the only version allowed; empty means any
+	Own     bool      // only targets of the view's own failure domain
+	Idle    bool      // only targets with a free slot
+	Except  []*Target // not these
+}
+
+// Pick chooses a replica by the power of two choices and takes room at it, to
+// be given back by Target.Release. It returns nil if none may be asked. It
+// allocates nothing.
+func (v *View) Pick(replicas []*Target, o PickOptions, r *rand.Rand) *Target {
+	n := len(replicas)
+	if n == 0 {
+		return nil
+	}
+	s := r.IntN(n)
+	var a, b *Target
+	for i := range n {
+		t := replicas[(s+i)%n]
+		if !v.allowed(t, o) {
+			continue
+		}
+		if a == nil {
+			a = t
+			continue
+		}
+		b = t
+		break
+	}
+	if b != nil && b.better(a) {
+		a, b = b, a
+	}
+	if a != nil && a.Acquire() {
+		return a
+	}
+	if b != nil && b.Acquire() {
+		return b
+	}
+	return nil
+}
+
+func (v *View) allowed(t *Target, o PickOptions) bool {
+	if o.Version != "" && t.info.Version != o.Version {
+		return false
+	}
+	if o.Own && t.info.FailureDomain != v.domain {
+		return false
+	}
+	for _, e := range o.Except {
+		if e == t {
+			return false
+		}
+	}
+	if o.Idle {
+		return t.idle()
+	}
+	return t.room()
+}
--- /dev/null
+++ b/cowslipstandin/platform.go
@@ -0,0 +1,354 @@
+package cowslipstandin
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"cowslipflow/cowslipplatform"
+
+	"github.com/juju/errors"
+	"k8s.io/utils/clock"
+)
+
+// ErrDown is what a call gets while the platform is down or its answer is
+// lost.
+const ErrDown = errors.ConstError("cowslipstandin: no answer from the platform")
+
+// PlatformFaults are the switches of a Platform. The zero value is a platform
+// without faults.
+type PlatformFaults struct {
+	Down       bool          `json:"down"`         // no call is answered or takes effect
+	LoseWrites int           `json:"loseWrites"`   // answers of this many writes are lost after their effect
+	Delay      time.Duration `json:"delayNanos"`   // of each call
+	ListLag    time.Duration `json:"listLagNanos"` // of the instance list
+	Cut        []string      `json:"cut"`          // clients whose calls are not answered
+}
+
+// PlatformRecord is what a Platform counted.
+type PlatformRecord struct {
+	Reads   int `json:"reads"`
+	Writes  int `json:"writes"`
+	Watches int `json:"watches"`
+}
+
+type listed struct {
+	at        time.Time
+	instances []cowslipplatform.Instance
+}
+
+type lease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+type stored struct {
+	cowslipplatform.Value
+	lease   uint64
+	expires time.Time
+}
+
+// Platform is a stand-in of the platform's service. Make it with NewPlatform;
+// it is safe for concurrent use.
+type Platform struct {
+	mu        sync.Mutex
+	clock     clock.Clock
+	faults    PlatformFaults
+	record    PlatformRecord
+	revision  uint64
+	values    map[string]stored
+	leases    map[uint64]*lease
+	nextLease uint64
+	instances map[string]cowslipplatform.Instance
+	history   []listed
+	changed   chan struct{}
+}
+
+// NewPlatform makes a platform; a nil clock stands for the real one.
+func NewPlatform(c clock.Clock) *Platform {
+	if c == nil {
+		c = clock.RealClock{}
+	}
+	return &Platform{clock: c, values: map[string]stored{}, leases: map[uint64]*lease{}, instances: map[string]cowslipplatform.Instance{}, changed: make(chan struct{})}
+}
+
+// SetFaults switches faults.
+func (p *Platform) SetFaults(f PlatformFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+	p.wake()
+}
+
+// Record is what the platform counted so far.
+func (p *Platform) Record() PlatformRecord {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.record
+}
+
+// Backup copies the values, for Restore.
+func (p *Platform) Backup() map[string]cowslipplatform.Value {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := map[string]cowslipplatform.Value{}
+	for k, v := range p.values {
+		b[k] = v.Value
+	}
+	return b
+}
+
+// Restore puts an older state of the values back, as after a loss of data.
+func (p *Platform) Restore(b map[string]cowslipplatform.Value) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.values = map[string]stored{}
+	for k, v := range b {
+		p.values[k] = stored{Value: v}
+	}
+	p.wake()
+}
+
+// SetInstance puts an instance on the list, or changes its line.
+func (p *Platform) SetInstance(i cowslipplatform.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances[i.ID] = i
+	p.noteList()
+}
+
+// RemoveInstance takes an instance off the list.
+func (p *Platform) RemoveInstance(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.instances, id)
+	p.noteList()
+}
+
+func (p *Platform) noteList() {
+	l := slices.SortedFunc(maps.Values(p.instances), func(a, b cowslipplatform.Instance) int { return strings.Compare(a.ID, b.ID) })
+	p.history = append(p.history, listed{at: p.clock.Now(), instances: l})
+}
+
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Store gives the platform as a client sees it, without a network between.
+func (p *Platform) Store(client string) *cowslipplatform.Store {
+	return &cowslipplatform.Store{
+		Get: func(ctx context.Context, key string) (cowslipplatform.Value, error) { return p.get(ctx, client, key) },
+		Put: func(ctx context.Context, w cowslipplatform.Write) (uint64, error) { return p.put(ctx, client, w) },
+		Delete: func(ctx context.Context, key string, expect uint64) error {
+			return p.remove(ctx, client, key, expect)
+		},
+		List: func(ctx context.Context, prefix string) ([]cowslipplatform.Value, error) {
+			return p.list(ctx, client, prefix)
+		},
+		Watch: func(ctx context.Context, key string, after uint64, wait time.Duration) (cowslipplatform.Value, error) {
+			return p.watch(ctx, client, key, after, wait)
+		},
+		Grant:     func(ctx context.Context, ttl time.Duration) (uint64, error) { return p.grant(ctx, client, ttl) },
+		KeepAlive: func(ctx context.Context, id uint64) error { return p.keepAlive(ctx, client, id) },
+		Revoke:    func(ctx context.Context, id uint64) error { return p.revoke(ctx, client, id) },
+		Instances: func(ctx context.Context) ([]cowslipplatform.Instance, error) { return p.listInstances(ctx, client) },
+	}
+}
+
+// enter starts a call: it waits out the delay, or for ctx if no answer comes.
+func (p *Platform) enter(ctx context.Context, client string) error {
+	p.mu.Lock()
+	f := p.faults
+	p.mu.Unlock()
+	if f.Down || slices.Contains(f.Cut, client) {
+		<-ctx.Done()
+		return ErrDown
+	}
+	if f.Delay > 0 {
+		select {
+		case <-ctx.Done():
+			return ErrDown
+		case <-p.clock.After(f.Delay):
+		}
+	}
+	p.mu.Lock()
+	p.expire()
+	return nil
+}
+
+func (p *Platform) expire() {
+	n := p.clock.Now()
+	for id, l := range p.leases {
+		if n.After(l.ends) {
+			p.endLease(id)
+		}
+	}
+	for k, v := range p.values {
+		if !v.expires.IsZero() && n.After(v.expires) {
+			delete(p.values, k)
+		}
+	}
+}
+
+func (p *Platform) endLease(id uint64) {
+	delete(p.leases, id)
+	for k, v := range p.values {
+		if v.lease == id {
+			delete(p.values, k)
+		}
+	}
+}
+
+func (p *Platform) get(ctx context.Context, client, key string) (cowslipplatform.Value, error) {
+	if err := p.enter(ctx, client); err != nil {
+		return cowslipplatform.Value{}, err
+	}
+	defer p.mu.Unlock()
+	p.record.Reads++
+	v, ok := p.values[key]
+	if !ok {
+		return cowslipplatform.Value{}, cowslipplatform.ErrNotFound
+	}
+	return v.Value, nil
+}
+
+func (p *Platform) put(ctx context.Context, client string, w cowslipplatform.Write) (uint64, error) {
+	if err := p.enter(ctx, client); err != nil {
+		return 0, err
+	}
+	defer p.mu.Unlock()
+	p.record.Writes++
+	if p.values[w.Key].Revision != w.Expect {
+		return 0, cowslipplatform.ErrConflict
+	}
+	if w.Lease != 0 && p.leases[w.Lease] == nil {
+		return 0, cowslipplatform.ErrLeaseGone
+	}
+	p.revision++
+	s := stored{Value: cowslipplatform.Value{Key: w.Key, Data: slices.Clone(w.Data), Revision: p.revision}, lease: w.Lease}
+	if w.TTL > 0 {
+		s.expires = p.clock.Now().Add(w.TTL)
+	}
+	p.values[w.Key] = s
+	p.wake()
+	if p.faults.LoseWrites > 0 {
+		p.faults.LoseWrites--
+		return 0, ErrDown
+	}
+	return p.revision, nil
+}
+
+func (p *Platform) remove(ctx context.Context, client, key string, expect uint64) error {
+	if err := p.enter(ctx, client); err != nil {
+		return err
+	}
+	defer p.mu.Unlock()
+	p.record.Writes++
+	v, ok := p.values[key]
+	if !ok {
+		return cowslipplatform.ErrNotFound
+	}
+	if v.Revision != expect {
+		return cowslipplatform.ErrConflict
+	}
+	delete(p.values, key)
+	p.wake()
+	return nil
+}
+
+func (p *Platform) list(ctx context.Context, client, prefix string) ([]cowslipplatform.Value, error) {
+	if err := p.enter(ctx, client); err != nil {
+		return nil, err
+	}
+	defer p.mu.Unlock()
+	p.record.Reads++
+	l := []cowslipplatform.Value{}
+	for _, k := range slices.Sorted(maps.Keys(p.values)) {
+		if strings.HasPrefix(k, prefix) {
+			l = append(l, p.values[k].Value)
+		}
+	}
+	return l, nil
+}
+
+func (p *Platform) watch(ctx context.Context, client, key string, after uint64, wait time.Duration) (cowslipplatform.Value, error) {
+	t := p.clock.After(wait)
+	for {
+		if err := p.enter(ctx, client); err != nil {
+			return cowslipplatform.Value{}, err
+		}
+		v, ok := p.values[key]
+		c := p.changed
+		p.record.Watches++
+		p.mu.Unlock()
+		if ok && v.Revision != after {
+			return v.Value, nil
+		}
+		select {
+		case <-c:
+		case <-ctx.Done():
+			return cowslipplatform.Value{}, ErrDown
+		case <-t:
+			if !ok {
+				return cowslipplatform.Value{}, cowslipplatform.ErrNotFound
+			}
+			return v.Value, nil
+		}
+	}
+}
+
+func (p *Platform) grant(ctx context.Context, client string, ttl time.Duration) (uint64, error) {
+	if err := p.enter(ctx, client); err != nil {
+		return 0, err
+	}
+	defer p.mu.Unlock()
+	p.record.Writes++
+	p.nextLease++
+	p.leases[p.nextLease] = &lease{ttl: ttl, ends: p.clock.Now().Add(ttl)}
+	return p.nextLease, nil
+}
+
+func (p *Platform) keepAlive(ctx context.Context, client string, id uint64) error {
+	if err := p.enter(ctx, client); err != nil {
+		return err
+	}
+	defer p.mu.Unlock()
+	p.record.Writes++
+	l := p.leases[id]
+	if l == nil {
+		return cowslipplatform.ErrLeaseGone
+	}
+	l.ends = p.clock.Now().Add(l.ttl)
+	return nil
+}
+
+func (p *Platform) revoke(ctx context.Context, client string, id uint64) error {
+	if err := p.enter(ctx, client); err != nil {
+		return err
+	}
+	defer p.mu.Unlock()
+	p.record.Writes++
+	p.endLease(id)
+	p.wake()
+	return nil
+}
+
+func (p *Platform) listInstances(ctx context.Context, client string) ([]cowslipplatform.Instance, error) {
+	if err := p.enter(ctx, client); err != nil {
+		return nil, err
+	}
+	defer p.mu.Unlock()
+	p.record.Reads++
+	at := p.clock.Now().Add(-p.faults.ListLag)
+	l := []cowslipplatform.Instance{}
+	for _, h := range p.history {
+		if !h.at.After(at) {
+			l = h.instances
+		}
+	}
+	return l, nil
+}
--- /dev/null
+++ b/cowslipstandin/server.go
@@ -0,0 +1,131 @@
+package cowslipstandin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+)
+
+// maxBodyBytes bounds a request to a stand-in.
+const maxBodyBytes = 8 << 20
+
+func init() { hlog.SetLevel(hlog.LevelFatal) }
+
+// listener accepts up to a cap of connections, after a delay, and can close
+// them all.
+type listener struct {
+	net.Listener
+	mu      sync.Mutex
+	limit   int
+	delay   func() time.Duration
+	open    map[net.Conn]bool
+	refused int
+	peak    int
+	frozen  bool
+}
+
+func newListener(l net.Listener, limit int, delay func() time.Duration) *listener {
+	return &listener{Listener: l, limit: limit, delay: delay, open: map[net.Conn]bool{}}
+}
+
+// Accept closes connections over the cap at once.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if n := l.admit(c); n != nil {
+			return n, nil
+		}
+		c.Close()
+	}
+}
+
+func (l *listener) admit(c net.Conn) net.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.frozen || l.limit > 0 && len(l.open) >= l.limit {
+		l.refused++
+		return nil
+	}
+	n := &trackedConn{Conn: c, owner: l}
+	if l.delay != nil {
+		n.ready = time.Now().Add(l.delay())
+	}
+	l.open[n] = true
+	l.peak = max(l.peak, len(l.open))
+	return n
+}
+
+// closeAll cuts every connection; refuse makes it close new ones too.
+func (l *listener) closeAll(refuse bool) {
+	l.mu.Lock()
+	l.frozen = refuse
+	var o []net.Conn
+	for c := range l.open {
+		o = append(o, c)
+	}
+	l.mu.Unlock()
+	for _, c := range o {
+		c.Close()
+	}
+}
+
+type trackedConn struct {
+	net.Conn
+	owner *listener
+	ready time.Time
+	once  sync.Once
+}
+
+// Read waits until the connection counts as open.
+func (c *trackedConn) Read(b []byte) (int, error) {
+	if d := time.Until(c.ready); d > 0 {
+		time.Sleep(d)
+	}
+	return c.Conn.Read(b)
+}
+
+// Close gives the connection's place free.
+func (c *trackedConn) Close() error {
+	c.once.Do(func() {
+		c.owner.mu.Lock()
+		delete(c.owner.open, c)
+		c.owner.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
+
+func newServer(l net.Listener) *server.Hertz {
+	return server.New(
+		server.WithListener(l),
+		server.WithTransport(standard.NewTransporter),
+		server.WithSenseClientDisconnection(true),
+		server.WithMaxRequestBodySize(maxBodyBytes),
+		server.WithDisablePrintRoute(true),
+		server.WithExitWaitTime(0),
+	)
+}
+
+func shutdown(h *server.Hertz) {
+	c, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	h.Shutdown(c)
+}
+
+// decode reads a JSON body; it answers 400 and returns false if it cannot.
+func decode(c *app.RequestContext, v any) bool {
+	if err := json.Unmarshal(c.Request.Body(), v); err != nil {
+		c.JSON(400, map[string]string{"error": err.Error()})
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/cowslipstandin/targetserver.go
@@ -0,0 +1,145 @@
+package cowslipstandin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"cowslipflow/cowsliptarget"
+
+	"github.com/cloudwego/hertz/pkg/app"
+)
+
+// crashPause is how long a target that crashed stays away.
+const crashPause = 50 * time.Millisecond
+
+func (t *Target) search(ctx context.Context, c *app.RequestContext, incarnation int) {
+	var s cowsliptarget.Search
+	if !decode(c, &s) {
+		return
+	}
+	a := t.admit(s.ID, s.Route, s.Query, false, func(h cowsliptarget.Holding) bool {
+		return h.IndexVersion == s.IndexVersion && h.Lo == s.Lo && h.Hi == s.Hi
+	})
+	if !t.proceed(ctx, c, a, s.ID, s.DeadlineMillis, incarnation) {
+		return
+	}
+	r := cowsliptarget.SearchReply{ID: s.ID, IndexVersion: s.IndexVersion, Lo: s.Lo, Hi: s.Hi, Items: items(s), Report: t.report(false)}
+	r.Checksum = cowsliptarget.Checksum(r.ID, r.Items)
+	if a.faults.Swap {
+		r.ID = t.swap(s.ID)
+		r.Checksum = cowsliptarget.Checksum(r.ID, r.Items)
+	}
+	if a.faults.Truncate && len(r.Items) > 0 {
+		r.Items = r.Items[:len(r.Items)-1]
+	}
+	t.reply(c, r, a.faults.Double)
+}
+
+func (t *Target) recordRequest(ctx context.Context, c *app.RequestContext, incarnation int) {
+	var q cowsliptarget.Record
+	if !decode(c, &q) {
+		return
+	}
+	a := t.admit(q.ID, q.Route, q.Body, true, nil)
+	if !t.proceed(ctx, c, a, q.ID, q.DeadlineMillis, incarnation) {
+		return
+	}
+	r := cowsliptarget.RecordReply{ID: q.ID, Result: "stored " + q.Body, Report: t.report(false)}
+	if a.faults.Swap {
+		r.ID = t.swap(q.ID)
+	}
+	r.Checksum = cowsliptarget.Checksum(r.ID, []cowsliptarget.Item{{Text: r.Result}})
+	t.reply(c, r, a.faults.Double)
+}
+
+// proceed carries out an admission; it returns true if an answer is due.
+func (t *Target) proceed(ctx context.Context, c *app.RequestContext, a admission, id string, deadlineMillis int64, incarnation int) bool {
+	if a.code != "" {
+		sleep(ctx, t.o.Distance)
+		c.JSON(503, cowsliptarget.Refusal{ID: id, Code: a.code, Report: t.report(a.code == cowsliptarget.CodeWrongVersion)})
+		return false
+	}
+	if a.crash {
+		t.crash(incarnation)
+		return false
+	}
+	if deadlineMillis > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(deadlineMillis)*time.Millisecond)
+		defer cancel()
+	}
+	t.mu.Lock()
+	s := t.slots
+	t.mu.Unlock()
+	if !t.work(ctx, s, a.faults.Extra) {
+		c.GetConn().Close()
+		return false
+	}
+	if a.drop {
+		c.GetConn().Close()
+		return false
+	}
+	if a.fail {
+		c.JSON(500, cowsliptarget.Refusal{ID: id, Code: "failed", Report: t.report(false)})
+		return false
+	}
+	return true
+}
+
+func (t *Target) crash(incarnation int) {
+	t.mu.Lock()
+	stale := t.incarnation != incarnation
+	t.mu.Unlock()
+	if stale {
+		return
+	}
+	t.Kill()
+	time.AfterFunc(crashPause, func() { _ = t.start() })
+}
+
+// swap returns the ID of the request before.
+func (t *Target) swap(id string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.last
+	t.last = id
+	if o == "" {
+		return "other"
+	}
+	return o
+}
+
+func (t *Target) reply(c *app.RequestContext, v any, double bool) {
+	if !double {
+		c.JSON(200, v)
+		return
+	}
+	b, _ := json.Marshal(v)
+	h := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", len(b))
+	n := c.GetConn()
+	for range 2 {
+		n.WriteBinary([]byte(h))
+		n.WriteBinary(b)
+	}
+	n.Flush()
+	time.Sleep(time.Millisecond)
+	n.Close()
+}
+
+// items are the content of a range: a key each KeyStep, with a text that names
+// its index version.
+func items(s cowsliptarget.Search) []cowsliptarget.Item {
+	l := []cowsliptarget.Item{}
+	for k := (s.Lo + KeyStep - 1) / KeyStep * KeyStep; k < s.Hi; k += KeyStep {
+		l = append(l, cowsliptarget.Item{Key: k, Text: fmt.Sprintf("entry %d of index version %d", k, s.IndexVersion)})
+	}
+	return l
+}
+
+// ShardRange is the range of keys of shard n of count.
+func ShardRange(n, count int) (lo, hi uint32) {
+	w := func(i int) uint32 { return uint32(uint64(i) * cowsliptarget.KeySpace / uint64(count)) }
+	return w(n), w(n + 1)
+}
--- /dev/null
+++ b/cowsliptarget/client.go
@@ -0,0 +1,244 @@
+package cowsliptarget
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// maxReplyBytes bounds the answer to one sub-request.
+const maxReplyBytes = 8 << 20
+
+// dialTimeout bounds the opening of a connection to a target.
+const dialTimeout = time.Second
+
+// Options configure a Client. The zero value works.
+type Options struct {
+	IdlePerTarget int               // connections kept open per target, 2 if 0
+	OnDisconnect  func(addr string) // called when a connection to addr ends, if not nil
+}
+
+// Client sends requests to targets. It is safe for concurrent use; make it
+// with NewClient.
+type Client struct {
+	http      *http.Client
+	transport *http.Transport
+	opened    atomic.Int64
+}
+
+// NewClient makes a client.
+func NewClient(o Options) *Client {
+	if o.IdlePerTarget <= 0 {
+		o.IdlePerTarget = 2
+	}
+	c := &Client{}
+	d := &net.Dialer{Timeout: dialTimeout}
+	c.transport = &http.Transport{
+		MaxIdleConnsPerHost: o.IdlePerTarget,
+		DisableCompression:  true,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			n, err := d.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			c.opened.Add(1)
+			return &countingConn{Conn: n, addr: addr, lost: o.OnDisconnect}, nil
+		},
+	}
+	c.http = &http.Client{Transport: c.transport}
+	return c
+}
+
+// Opened is the number of connections opened so far.
+func (c *Client) Opened() int64 { return c.opened.Load() }
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Search sends a sub-request to the target at addr. The report is empty where
+// the outcome brought none.
+func (c *Client) Search(ctx context.Context, addr string, s Search) (SearchReply, Report, Outcome) {
+	var r SearchReply
+	var x exchange
+	o := x.run(ctx, c, addr, "/v1/search", s.ID, s, &r)
+	if o != OK {
+		return SearchReply{}, x.report, o
+	}
+	if r.ID != s.ID || r.IndexVersion != s.IndexVersion || r.Lo != s.Lo || r.Hi != s.Hi || r.Checksum != Checksum(r.ID, r.Items) {
+		x.drop()
+		return SearchReply{}, Report{}, Corrupt
+	}
+	return r, r.Report, OK
+}
+
+// Record sends a non-idempotent request, once.
+func (c *Client) Record(ctx context.Context, addr string, q Record) (RecordReply, Report, Outcome) {
+	var r RecordReply
+	var x exchange
+	o := x.run(ctx, c, addr, "/v1/record", q.ID, q, &r)
+	if o != OK {
+		return RecordReply{}, x.report, o
+	}
+	if r.ID != q.ID || r.Checksum != Checksum(r.ID, []Item{{Text: r.Result}}) {
+		x.drop()
+		return RecordReply{}, Report{}, Corrupt
+	}
+	return r, r.Report, OK
+}
+
+// Status asks a target for its report.
+func (c *Client) Status(ctx context.Context, addr string) (Report, Outcome) {
+	var r Report
+	var x exchange
+	o := x.run(ctx, c, addr, "/v1/status", "", struct{}{}, &r)
+	return r, o
+}
+
+// exchange is one request and its answer.
+type exchange struct {
+	mu      sync.Mutex
+	conn    *countingConn
+	before  int64
+	written bool
+	report  Report
+}
+
+func (x *exchange) gotConn(i httptrace.GotConnInfo) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.settle()
+	if n, ok := i.Conn.(*countingConn); ok {
+		x.conn = n
+		x.before = n.written.Load()
+	}
+}
+
+// settle notes whether the connection used so far carried a byte.
+func (x *exchange) settle() {
+	if x.conn != nil && x.conn.written.Load() > x.before {
+		x.written = true
+	}
+}
+
+func (x *exchange) sent() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.settle()
+	return x.written
+}
+
+// drop closes the connection, on which an answer to another request may still
+// arrive.
+func (x *exchange) drop() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.conn != nil {
+		x.conn.Close()
+	}
+}
+
+func (x *exchange) run(ctx context.Context, c *Client, addr, path, id string, in, out any) Outcome {
+	b, err := json.Marshal(in)
+	if err != nil {
+		return NotSent
+	}
+	t := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.gotConn})
+	r, err := http.NewRequestWithContext(t, http.MethodPost, "http://"+addr+path, bytes.NewReader(b))
+	if err != nil {
+		return NotSent
+	}
+	r.Header.Set("Content-Type", "application/json")
+	p, err := c.http.Do(r)
+	if err != nil {
+		return x.broken(ctx)
+	}
+	defer p.Body.Close()
+	if b, err = io.ReadAll(io.LimitReader(p.Body, maxReplyBytes)); err != nil {
+		return x.broken(ctx)
+	}
+	if p.StatusCode != http.StatusOK {
+		return x.refused(p.StatusCode, id, b)
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		x.drop()
+		return Corrupt
+	}
+	return OK
+}
+
+func (x *exchange) broken(ctx context.Context) Outcome {
+	switch {
+	case !x.sent():
+		return NotSent
+	case ctx.Err() != nil:
+		return Cancelled
+	}
+	return Lost
+}
+
+// refused reads a refusal. Only one that names this request proves that the
+// request did not run.
+func (x *exchange) refused(status int, id string, b []byte) Outcome {
+	var f Refusal
+	if err := json.Unmarshal(b, &f); err != nil || f.ID != id {
+		x.drop()
+		if status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable {
+			return Failed
+		}
+		return Corrupt
+	}
+	x.report = f.Report
+	switch f.Code {
+	case CodeShed:
+		return Shed
+	case CodeLeaving:
+		return Leaving
+	case CodeWrongVersion:
+		return WrongVersion
+	case CodeExpired:
+		return Expired
+	}
+	return Failed
+}
+
+// countingConn counts the bytes written and tells when the connection ends.
+type countingConn struct {
+	net.Conn
+	addr    string
+	lost    func(addr string)
+	once    sync.Once
+	written atomic.Int64
+}
+
+// Write counts what left.
+func (n *countingConn) Write(b []byte) (int, error) {
+	k, err := n.Conn.Write(b)
+	n.written.Add(int64(k))
+	return k, err
+}
+
+// Read reports the end of the connection by the other side.
+func (n *countingConn) Read(b []byte) (int, error) {
+	k, err := n.Conn.Read(b)
+	if err == io.EOF || err != nil && !isClosed(err) {
+		n.once.Do(func() {
+			if n.lost != nil {
+				n.lost(n.addr)
+			}
+		})
+	}
+	return k, err
+}
+
+// isClosed tells whether this side closed the connection.
+func isClosed(err error) bool {
+	o, ok := err.(*net.OpError)
+	return ok && o.Err == net.ErrClosed
+}
--- /dev/null
+++ b/cowsliptarget/message.go
@@ -0,0 +1,108 @@
+package cowsliptarget
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// KeySpace is the size of the key space that the shards of an index version
+// divide: keys run from 0 to KeySpace-1.
+const KeySpace = 1 << 16
+
+// Holding is a range of keys, from Lo up to but without Hi, of one index
+// version that a target holds.
+type Holding struct {
+	IndexVersion uint64 `json:"indexVersion"`
+	Lo           uint32 `json:"lo"`
+	Hi           uint32 `json:"hi"`
+}
+
+// Report is what a target says of itself. It may lag or mislead.
+type Report struct {
+	Incarnation string    `json:"incarnation"`
+	Version     string    `json:"version"`
+	Leaving     bool      `json:"leaving"`
+	Cold        bool      `json:"cold"`
+	Running     int       `json:"running"`
+	Queued      int       `json:"queued"`
+	Slots       int       `json:"slots"`
+	Holdings    []Holding `json:"holdings,omitempty"`
+}
+
+// Search asks for one shard of an index version. It is idempotent.
+type Search struct {
+	ID             string `json:"id"`
+	Service        string `json:"service"`
+	Route          string `json:"route"`
+	IndexVersion   uint64 `json:"indexVersion"`
+	Lo             uint32 `json:"lo"`
+	Hi             uint32 `json:"hi"`
+	Query          string `json:"query"`
+	DeadlineMillis int64  `json:"deadlineMillis"`
+}
+
+// Item is one result.
+type Item struct {
+	Key  uint32 `json:"key"`
+	Text string `json:"text"`
+}
+
+// SearchReply is a target's whole answer to a Search. Checksum is Checksum of
+// its ID and Items.
+type SearchReply struct {
+	ID           string `json:"id"`
+	IndexVersion uint64 `json:"indexVersion"`
+	Lo           uint32 `json:"lo"`
+	Hi           uint32 `json:"hi"`
+	Items        []Item `json:"items"`
+	Checksum     uint64 `json:"checksum"`
+	Report       Report `json:"report"`
+}
+
+// Record is a non-idempotent request.
+type Record struct {
+	ID             string `json:"id"`
+	Service        string `json:"service"`
+	Route          string `json:"route"`
+	Body           string `json:"body"`
+	DeadlineMillis int64  `json:"deadlineMillis"`
+}
+
+// RecordReply is a target's answer to a Record that ran. Checksum is Checksum
+// of its ID and an item of key 0 that holds Result.
+type RecordReply struct {
+	ID       string `json:"id"`
+	Result   string `json:"result"`
+	Checksum uint64 `json:"checksum"`
+	Report   Report `json:"report"`
+}
+
+// Refusal is a target's answer to a request that it did not run.
+type Refusal struct {
+	ID     string `json:"id"`
+	Code   string `json:"code"`
+	Report Report `json:"report"`
+}
+
+// Codes of a Refusal.
+const (
+	CodeShed         = "shed"
+	CodeLeaving      = "leaving"
+	CodeWrongVersion = "wrongVersion"
+	CodeExpired      = "expired"
+)
+
+// Checksum is the xxhash of an answer's content.
+func Checksum(id string, items []Item) uint64 {
+	h := xxhash.New()
+	h.WriteString(id)
+	var b [8]byte
+	for _, i := range items {
+		binary.LittleEndian.PutUint32(b[:4], i.Key)
+		binary.LittleEndian.PutUint32(b[4:], uint32(len(i.Text)))
+		h.Write(b[:])
+		h.WriteString(i.Text)
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/entrycommand.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"crypto/tls"
+	"net"
+	"time"
+
+	"cowslipflow/cowslipentry"
+	"cowslipflow/cowslipplatform"
+)
+
+// entryCommand holds the settings of an entry instance.
+type entryCommand struct {
+	ID            string        `long:"id" env:"COWSLIPFLOW_ID" required:"yes" description:"unique over all entry instances, also over time"`
+	FailureDomain string        `long:"failure-domain" env:"COWSLIPFLOW_FAILURE_DOMAIN" required:"yes" description:"that the instance runs in"`
+	Platform      string        `long:"platform" env:"COWSLIPFLOW_PLATFORM" required:"yes" description:"URL of the platform's key-value service"`
+	Callers       string        `long:"callers" env:"COWSLIPFLOW_CALLERS" default:"127.0.0.1:7610" description:"address to listen on for callers"`
+	Operators     string        `long:"operators" env:"COWSLIPFLOW_OPERATORS" default:"127.0.0.1:7620" description:"address to listen on for operators"`
+	Peers         string        `long:"peers" env:"COWSLIPFLOW_PEERS" default:"127.0.0.1:7630" description:"address to listen on for other entry instances"`
+	Advertise     string        `long:"advertise" env:"COWSLIPFLOW_ADVERTISE" description:"address at which other entry instances reach this one (default: that of --peers)"`
+	Seeds         []string      `long:"seed" env:"COWSLIPFLOW_SEEDS" env-delim:"," description:"peer's address to try before the platform names any; may stand several times"`
+	DrainWait     time.Duration `long:"drain-wait" env:"COWSLIPFLOW_DRAIN_WAIT" default:"2s" description:"time that the balancer needs to notice a shutdown"`
+	ClaimRate     float64       `long:"claim-rate" env:"COWSLIPFLOW_CLAIM_RATE" default:"40" description:"keyed requests a second; each costs the platform two writes"`
+	Token         string        `long:"token" env:"COWSLIPFLOW_TOKEN" description:"that operators' calls must bear"`
+	CallersCert   string        `long:"callers-cert" env:"COWSLIPFLOW_CALLERS_CERT" description:"file of the TLS certificate for callers"`
+	CallersKey    string        `long:"callers-key" env:"COWSLIPFLOW_CALLERS_KEY" description:"file of its key"`
+	OperatorsCert string        `long:"operators-cert" env:"COWSLIPFLOW_OPERATORS_CERT" description:"file of the TLS certificate for operators"`
+	OperatorsKey  string        `long:"operators-key" env:"COWSLIPFLOW_OPERATORS_KEY" description:"file of its key"`
+}
+
+// Execute runs the instance until SIGTERM, then shuts down gracefully.
+func (c *entryCommand) Execute([]string) error {
+	o, err := c.options()
+	if err != nil {
+		return err
+	}
+	e, err := cowslipentry.New(o)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := signalled()
+	defer cancel()
+	return e.Run(ctx)
+}
+
+func (c *entryCommand) options() (cowslipentry.Options, error) {
+	o := cowslipentry.Options{ID: c.ID, FailureDomain: c.FailureDomain, Advertise: c.Advertise, Seeds: c.Seeds, DrainWait: c.DrainWait, ClaimRate: c.ClaimRate, Token: c.Token, Log: newLog()}
+	if c.DrainWait < 0 {
+		return o, exit(exitUsage, "--drain-wait: %v is negative", c.DrainWait)
+	}
+	if c.ClaimRate <= 0 {
+		return o, exit(exitUsage, "--claim-rate: %v is not above 0", c.ClaimRate)
+	}
+	if err := checkURL("--platform", c.Platform); err != nil {
+		return o, err
+	}
+	var err error
+	if o.CallersTLS, err = loadTLS("callers", c.CallersCert, c.CallersKey); err != nil {
+		return o, err
+	}
+	if o.OperatorsTLS, err = loadTLS("operators", c.OperatorsCert, c.OperatorsKey); err != nil {
+		return o, err
+	}
+	for _, l := range []struct {
+		setting, addr string
+		to            *net.Listener
+	}{{"--callers", c.Callers, &o.Callers}, {"--operators", c.Operators, &o.Operators}, {"--peers", c.Peers, &o.Peers}} {
+		if *l.to, err = net.Listen("tcp", l.addr); err != nil {
+			return o, exit(exitUsage, "%s: %v", l.setting, err)
+		}
+	}
+	o.Store = cowslipplatform.NewHTTP(c.Platform, c.ID)
+	return o, nil
+}
+
+func loadTLS(name, cert, key string) (*tls.Config, error) {
+	if cert == "" && key == "" {
+		return nil, nil
+	}
+	p, err := tls.LoadX509KeyPair(cert, key)
+	if err != nil {
+		return nil, exit(exitUsage, "--%s-cert, --%s-key: %v", name, name, err)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{p}, MinVersion: tls.VersionTLS12}, nil
+}
--- /dev/null
+++ b/operatorcommands.go
@@ -0,0 +1,255 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"cowslipflow/cowslipconfig"
+	"cowslipflow/cowslipcontrol"
+	"cowslipflow/cowslipentry"
+
+	"github.com/juju/errors"
+)
+
+// operatorOptions are common to the operators' subcommands.
+type operatorOptions struct {
+	Server  string        `long:"server" env:"COWSLIPFLOW_OPERATOR_SERVER" default:"http://127.0.0.1:7620" description:"any entry instance's address for operators"`
+	Token   string        `long:"token" env:"COWSLIPFLOW_TOKEN" description:"operators' token"`
+	CA      string        `long:"ca" env:"COWSLIPFLOW_CA" description:"file of the certificate that signed the server's"`
+	Timeout time.Duration `long:"timeout" env:"COWSLIPFLOW_TIMEOUT" default:"10s" description:"to wait for the answer"`
+	JSON    bool          `long:"json" description:"print the answer as JSON"`
+}
+
+func (o operatorOptions) server() server {
+	return server{url: o.Server, token: o.Token, ca: o.CA, timeout: o.Timeout}
+}
+
+// get prints what a path answers, as JSON or by show.
+func get[T any](o operatorOptions, path string, show func(T)) error {
+	var v T
+	if err := o.server().call("GET", path, struct{}{}, &v); err != nil {
+		return err
+	}
+	if o.JSON {
+		return printJSON(v)
+	}
+	show(v)
+	return nil
+}
+
+func printJSON(v any) error {
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+func table(header string, rows func(w *tabwriter.Writer)) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, strings.ReplaceAll(header, " ", "\t"))
+	rows(w)
+	w.Flush()
+}
+
+// fileArg is the file of a text.
+type fileArg struct {
+	File string `positional-arg-name:"FILE" required:"yes"`
+}
+
+func (a fileArg) read() ([]byte, error) {
+	b, err := os.ReadFile(a.File)
+	if err != nil {
+		return nil, exit(exitUsage, "%v", err)
+	}
+	return b, nil
+}
+
+type checkCommand struct {
+	Args fileArg `positional-args:"yes"`
+}
+
+// Execute checks a text on this machine.
+func (c *checkCommand) Execute([]string) error {
+	b, err := c.Args.read()
+	if err != nil {
+		return err
+	}
+	n, err := cowslipconfig.Parse(b)
+	if err == nil {
+		err = cowslipconfig.CheckEdit(nil, n, b, time.Now())
+	}
+	if err != nil {
+		printProblems(c.Args.File, err)
+		return exit(exitRejected, "%s has problems", c.Args.File)
+	}
+	fmt.Printf("%s: %d services, %d failure domains, %d moves, no problems\n", c.Args.File, len(n.Services()), len(n.FailureDomains()), len(n.Moves()))
+	return nil
+}
+
+func printProblems(file string, err error) {
+	var p cowslipconfig.Problems
+	if !errors.As(err, &p) {
+		return
+	}
+	for _, x := range p {
+		fmt.Printf("%s:%d: %s: %s; %s\n", file, x.Line, x.Field, x.Wrong, x.Right)
+	}
+}
+
+type applyCommand struct {
+	operatorOptions
+	By     string  `long:"by" env:"USER" description:"who applies, for the time line and for conflicts"`
+	EditID string  `long:"edit" description:"of an edit whose end was unknown, to learn it"`
+	Args   fileArg `positional-args:"yes"`
+}
+
+// Execute applies a text.
+func (c *applyCommand) Execute([]string) error {
+	b, err := c.Args.read()
+	if err != nil {
+		return err
+	}
+	var a cowslipentry.ApplyAnswer
+	err = c.server().call("POST", "/v1/config", cowslipentry.ApplyRequest{Text: string(b), By: c.By, EditID: c.EditID}, &a)
+	var r *cowslipentry.Refusal
+	var x exitError
+	if errors.As(err, &x) && errors.As(x.err, &r) {
+		printDetails(c.Args.File, r)
+	}
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(a)
+	}
+	fmt.Printf("accepted as revision %d\n", a.Revision)
+	return nil
+}
+
+func printDetails(file string, r *cowslipentry.Refusal) {
+	d, ok := r.Details.(json.RawMessage)
+	if !ok {
+		return
+	}
+	switch r.Code {
+	case cowslipentry.CodeInvalidConfig:
+		var p cowslipconfig.Problems
+		if err := json.Unmarshal(d, &p); err == nil {
+			printProblems(file, p)
+		}
+	case cowslipentry.CodeUnknown:
+		var a cowslipentry.ApplyAnswer
+		if err := json.Unmarshal(d, &a); err == nil {
+			fmt.Printf("send it again with --edit %s\n", a.EditID)
+		}
+	}
+}
+
+type configCommand struct{ operatorOptions }
+
+// Execute prints the text in force.
+func (c *configCommand) Execute([]string) error {
+	return get(c.operatorOptions, "/v1/config", func(a cowslipcontrol.Accepted) {
+		fmt.Print(withRevision(a))
+	})
+}
+
+// withRevision gives a text whose revision line names the revision that an
+// edit of it starts from.
+func withRevision(a cowslipcontrol.Accepted) string {
+	var l []string
+	for _, s := range strings.SplitAfter(a.Text, "\n") {
+		if f := strings.TrimSpace(s); strings.HasPrefix(f, "revision") && strings.HasPrefix(strings.TrimSpace(strings.TrimPrefix(f, "revision")), "=") {
+			continue
+		}
+		l = append(l, s)
+	}
+	return fmt.Sprintf("revision = %d\n%s", a.Revision, strings.Join(l, ""))
+}
+
+type statusCommand struct{ operatorOptions }
+
+// Execute prints the status.
+func (c *statusCommand) Execute([]string) error {
+	return get(c.operatorOptions, "/v1/status", func(s cowslipcontrol.Status) {
+		n := len(s.InForce) + len(s.NotConfirmed)
+		fmt.Printf("revision %d in force on %d of %d entry instances\n", s.Revision, len(s.InForce), n)
+		if len(s.NotConfirmed) > 0 {
+			fmt.Println("not confirmed on:", strings.Join(s.NotConfirmed, ", "))
+		}
+		fmt.Printf("asked %s in failure domain %s, which may ask targets of: %s\n", s.ID, s.FailureDomain, scopeText(s))
+		if s.PlatformDown {
+			fmt.Println("the platform does not answer; nothing can be accepted meanwhile")
+		}
+		table("SERVICE INDEX COVERAGE TARGETS COLD EJECTED LEAVING IMPAIRED", func(w *tabwriter.Writer) {
+			for _, x := range s.Services {
+				fmt.Fprintf(w, "%s\t%d\t%.2f%%\t%d\t%d\t%d\t%d\t%s\n", x.Name, x.IndexVersion, 100*x.Coverage, x.Targets, x.Cold, x.Ejected, x.Leaving, strings.Join(x.Impaired, ","))
+			}
+		})
+	})
+}
+
+func scopeText(s cowslipcontrol.Status) string {
+	switch s.Scope {
+	case "all":
+		return "all failure domains"
+	case "own":
+		return "its own failure domain only, since it is cut off"
+	}
+	return "none, until it has confirmed the configuration"
+}
+
+type movesCommand struct{ operatorOptions }
+
+// Execute prints the moves.
+func (c *movesCommand) Execute([]string) error {
+	return get(c.operatorOptions, "/v1/moves", func(l []cowslipcontrol.MoveReport) {
+		table("SERVICE FROM TO BY STATE SHARE REASON", func(w *tabwriter.Writer) {
+			for _, m := range l {
+				var s []string
+				for r, x := range m.Share {
+					s = append(s, fmt.Sprintf("%s:%.0f%%", r, 100*x))
+				}
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", m.Service, m.From, m.To, m.By.UTC().Format(time.RFC3339), m.State, strings.Join(s, ","), m.Reason)
+			}
+		})
+	})
+}
+
+type domainsCommand struct{ operatorOptions }
+
+// Execute prints the failure domains.
+func (c *domainsCommand) Execute([]string) error {
+	return get(c.operatorOptions, "/v1/failureDomains", func(l []cowslipcontrol.FailureDomainStatus) {
+		table("FAILURE-DOMAIN STATE TARGETS COLD ENTRY-INSTANCES HEARD", func(w *tabwriter.Writer) {
+			for _, d := range l {
+				fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", d.Name, d.State, d.Targets, d.Cold, d.Peers, d.Heard)
+			}
+		})
+	})
+}
+
+type timelineCommand struct {
+	operatorOptions
+	Kind  string        `long:"kind" description:"print only events of this kind"`
+	Since time.Duration `long:"since" description:"print only events this young"`
+}
+
+// Execute prints the time line.
+func (c *timelineCommand) Execute([]string) error {
+	return get(c.operatorOptions, "/v1/timeline", func(t cowslipentry.Timeline) {
+		for _, e := range t.Events {
+			at := time.Unix(0, e.Stamp.Wall).UTC()
+			if c.Kind != "" && e.Kind != c.Kind || c.Since > 0 && time.Since(at) > c.Since {
+				continue
+			}
+			fmt.Printf("%s  %-8s  %-22s  %s  %s\n", at.Format("15:04:05.000"), e.Instance, e.Kind, e.Subject, e.Detail)
+		}
+		if len(t.Missing) > 0 {
+			fmt.Println("no answer from:", strings.Join(t.Missing, ", "))
+		}
+	})
+}
