Prove at most once and a true "not run" under lost answers, kills, freezes and outages

Ruled out: taking a claim over after a time (a frozen holder would send after the taker); a claim is never taken over, its repeats are told "unknown". Conclusion: proved, but for a platform that loses the claims themselves.

--- a/cowslipstandin/platform.go
+++ b/cowslipstandin/platform.go
@@ -24,6 +24,7 @@
 	Down       bool          `json:"down"`         // no call is answered or takes effect
 	LoseWrites int           `json:"loseWrites"`   // answers of this many writes are lost after their effect
 	Delay      time.Duration `json:"delayNanos"`   // of each call
+	DelayOnly  []string      `json:"delayOnly"`    // clients whose calls are delayed, all if empty
 	ListLag    time.Duration `json:"listLagNanos"` // of the instance list
 	Cut        []string      `json:"cut"`          // clients whose calls are not answered
 }
@@ -168,7 +169,7 @@
 		<-ctx.Done()
 		return ErrDown
 	}
-	if f.Delay > 0 {
+	if f.Delay > 0 && (len(f.DelayOnly) == 0 || slices.Contains(f.DelayOnly, client)) {
 		select {
 		case <-ctx.Done():
 			return ErrDown
--- /dev/null
+++ b/cowsliptarget/client_test.go
@@ -0,0 +1,191 @@
+package cowsliptarget_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"cowslipflow/cowslipstandin"
+	"cowslipflow/cowsliptarget"
+
+	"github.com/stretchr/testify/require"
+)
+
+// handler serves one raw connection of a target.
+type handler func(n net.Conn)
+
+// raw starts a target that handles connections by hand.
+func raw(t *testing.T, h handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			n, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer n.Close()
+				h(n)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// request reads one request.
+func request(n net.Conn) {
+	if r, err := http.ReadRequest(bufio.NewReader(n)); err == nil {
+		io.Copy(io.Discard, r.Body)
+	}
+}
+
+func answer(status, body string) handler {
+	return func(n net.Conn) {
+		request(n)
+		io.WriteString(n, "HTTP/1.1 "+status+"\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	}
+}
+
+// "Not run" is claimed only where no byte left or the target itself refused
+// this very request.
+func TestOutcomes(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed.Close()
+	for _, c := range []struct {
+		name string
+		addr string
+		want cowsliptarget.Outcome
+	}{
+		{"refused connection", closed.Addr().String(), cowsliptarget.NotSent},
+		{"reset after the request", raw(t, func(n net.Conn) { request(n); n.(*net.TCPConn).SetLinger(0) }), cowsliptarget.Lost},
+		{"closed in the middle of the request", raw(t, func(n net.Conn) { n.Read(make([]byte, 8)) }), cowsliptarget.Lost},
+		{"shed", raw(t, answer("503 Busy", `{"id":"q.1","code":"shed"}`)), cowsliptarget.Shed},
+		{"leaving", raw(t, answer("503 Busy", `{"id":"q.1","code":"leaving"}`)), cowsliptarget.Leaving},
+		{"expired in the queue", raw(t, answer("503 Busy", `{"id":"q.1","code":"expired"}`)), cowsliptarget.Expired},
+		{"shed, but another request", raw(t, answer("503 Busy", `{"id":"q.0","code":"shed"}`)), cowsliptarget.Corrupt},
+		{"a proxy's bare 503", raw(t, answer("503 Busy", `busy`)), cowsliptarget.Corrupt},
+		{"failed", raw(t, answer("500 Failed", `{"id":"q.1","code":"failed"}`)), cowsliptarget.Failed},
+		{"failed without a body", raw(t, answer("500 Failed", ``)), cowsliptarget.Failed},
+		{"no JSON", raw(t, answer("200 OK", `{"id":`)), cowsliptarget.Corrupt},
+		{"answer cut off", raw(t, func(n net.Conn) {
+			request(n)
+			io.WriteString(n, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{")
+		}), cowsliptarget.Lost},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			k := cowsliptarget.NewClient(cowsliptarget.Options{})
+			defer k.Close()
+			_, _, o := k.Record(t.Context(), c.addr, cowsliptarget.Record{ID: "q.1", Body: "x"})
+			require.Equal(t, c.want, o, o.String())
+		})
+	}
+}
+
+func TestCancelledBeforeAndAfterTheRequestLeft(t *testing.T) {
+	k := cowsliptarget.NewClient(cowsliptarget.Options{})
+	defer k.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	got := make(chan bool, 1)
+	a := raw(t, func(n net.Conn) {
+		request(n)
+		got <- true
+		io.Copy(io.Discard, n)
+	})
+	_, _, o := k.Record(ctx, a, cowsliptarget.Record{ID: "q.1"})
+	require.Equal(t, cowsliptarget.NotSent, o)
+	ctx, cancel = context.WithCancel(t.Context())
+	go func() {
+		<-got
+		cancel()
+	}()
+	_, _, o = k.Record(ctx, a, cowsliptarget.Record{ID: "q.2"})
+	require.Equal(t, cowsliptarget.Cancelled, o)
+	require.False(t, o.NotRun())
+}
+
+// standin starts a stand-in target that holds one shard.
+func standin(t *testing.T, f cowslipstandin.TargetFaults) *cowslipstandin.Target {
+	x, err := cowslipstandin.StartTarget("127.0.0.1:0", cowslipstandin.TargetOptions{
+		ID: "t1", Service: "diaries", Holdings: []cowsliptarget.Holding{{IndexVersion: 3, Lo: 0, Hi: 1024}},
+	})
+	require.NoError(t, err)
+	t.Cleanup(x.Kill)
+	x.SetFaults(f)
+	return x
+}
+
+func search(id string, version uint64) cowsliptarget.Search {
+	return cowsliptarget.Search{ID: id, Service: "diaries", IndexVersion: version, Lo: 0, Hi: 1024}
+}
+
+func TestOnlyWholeAnswersToThisRequest(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults cowslipstandin.TargetFaults
+		want   cowsliptarget.Outcome
+	}{
+		{"whole", cowslipstandin.TargetFaults{}, cowsliptarget.OK},
+		{"swapped", cowslipstandin.TargetFaults{Swap: true}, cowsliptarget.Corrupt},
+		{"truncated", cowslipstandin.TargetFaults{Truncate: true}, cowsliptarget.Corrupt},
+		{"dropped", cowslipstandin.TargetFaults{DropReplies: 1}, cowsliptarget.Lost},
+		{"failed", cowslipstandin.TargetFaults{FailEvery: 1}, cowsliptarget.Failed},
+		{"leaving", cowslipstandin.TargetFaults{Leaving: true}, cowsliptarget.Leaving},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := standin(t, c.faults)
+			k := cowsliptarget.NewClient(cowsliptarget.Options{})
+			defer k.Close()
+			_, _, o := k.Search(t.Context(), x.Addr(), search("q.1", 3))
+			require.Equal(t, c.want, o, o.String())
+		})
+	}
+}
+
+func TestWrongVersionNamesWhatIsHeld(t *testing.T) {
+	x := standin(t, cowslipstandin.TargetFaults{})
+	k := cowsliptarget.NewClient(cowsliptarget.Options{})
+	defer k.Close()
+	_, r, o := k.Search(t.Context(), x.Addr(), search("q.1", 2))
+	require.Equal(t, cowsliptarget.WrongVersion, o)
+	require.Equal(t, []cowsliptarget.Holding{{IndexVersion: 3, Lo: 0, Hi: 1024}}, r.Holdings)
+}
+
+// A target that answers each request twice must not have its second answer
+// taken for that of the next request.
+func TestDoubledAnswers(t *testing.T) {
+	x := standin(t, cowslipstandin.TargetFaults{Double: true})
+	k := cowsliptarget.NewClient(cowsliptarget.Options{})
+	defer k.Close()
+	for _, id := range []string{"q.1", "q.2", "q.3", "q.4"} {
+		r, _, o := k.Search(t.Context(), x.Addr(), search(id, 3))
+		if o == cowsliptarget.OK {
+			require.Equal(t, id, r.ID)
+		}
+	}
+}
+
+// A connection whose request was given up is closed, so that its late answer
+// meets nobody.
+func TestLateAnswerMeetsNobody(t *testing.T) {
+	x := standin(t, cowslipstandin.TargetFaults{Extra: 100 * time.Millisecond})
+	k := cowsliptarget.NewClient(cowsliptarget.Options{})
+	defer k.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, _, o := k.Search(ctx, x.Addr(), search("q.1", 3))
+	require.Equal(t, cowsliptarget.Cancelled, o)
+	x.SetFaults(cowslipstandin.TargetFaults{})
+	r, _, o := k.Search(t.Context(), x.Addr(), search("q.2", 3))
+	require.Equal(t, cowsliptarget.OK, o)
+	require.Equal(t, "q.2", r.ID)
+	require.EqualValues(t, 2, k.Opened(), "the connection of q.1 was not used again")
+}
--- a/program_test.go
+++ b/program_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"cowslipflow/cowslipplatform"
+
 	"github.com/stretchr/testify/require"
 )
 
@@ -89,6 +91,7 @@
 
 // fleetOfProcesses is a whole installation.
 type fleetOfProcesses struct {
+	targets   []cowslipplatform.Instance
 	platform  string
 	entries   []*process
 	callers   []string
@@ -138,8 +141,8 @@
 	start(t, append([]string{"standin", "targets", "--platform", f.platform, "--service", "diaries", "--shards", "20"}, domains...)...)
 	start(t, append([]string{"standin", "targets", "--platform", f.platform, "--service", "households", "--replicas", "3", "--connections", "40", "--slots", "4"}, domains...)...)
 	eventually(t, "targets are listed", func() bool {
-		var l []any
-		return getJSON(f.platform+"/v1/instances", &l) == nil && len(l) == 43
+		f.targets = nil
+		return getJSON(f.platform+"/v1/instances", &f.targets) == nil && len(f.targets) == 43
 	})
 	for i := range entries {
 		f.startEntry(t, i)
@@ -178,7 +181,8 @@
 }
 
 func getJSON(url string, v any) error {
-	r, err := http.Get(url)
+	c := http.Client{Timeout: patience}
+	r, err := c.Get(url)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/record_process_test.go
@@ -0,0 +1,116 @@
+package main_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"cowslipflow/cowslipplatform"
+	"cowslipflow/cowsliprecord"
+	"cowslipflow/cowslipstandin"
+
+	"github.com/stretchr/testify/require"
+)
+
+func putJSON(t *testing.T, url string, v any) {
+	b, err := json.Marshal(v)
+	require.NoError(t, err)
+	r, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(b))
+	require.NoError(t, err)
+	p, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	p.Body.Close()
+	require.Equal(t, http.StatusOK, p.StatusCode)
+}
+
+func (f *fleetOfProcesses) platformFaults(t *testing.T, x cowslipstandin.PlatformFaults) {
+	putJSON(t, f.platform+"/v1/faults", x)
+}
+
+// runs counts, by the targets' own records, how often a record's body ran.
+func (f *fleetOfProcesses) runs(body string) int {
+	n := 0
+	for _, i := range f.targets {
+		var r cowslipstandin.TargetRecord
+		if i.Service != "households" || getJSON("http://"+i.Addr+"/v1/runs", &r) != nil {
+			continue
+		}
+		for _, x := range r.Runs {
+			if x.Record && x.Ran && x.Text == body {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (f *fleetOfProcesses) claimed(key string) bool {
+	var v cowslipplatform.Value
+	return getJSON(f.platform+"/v1/kv?key="+cowsliprecord.KeyPrefix+"households/"+key, &v) == nil
+}
+
+// ready starts a fleet that answers records.
+func readyFleet(t *testing.T, entries int) *fleetOfProcesses {
+	f := startFleet(t, entries)
+	f.apply(t, testText)
+	f.awaitReady(t)
+	for _, c := range f.callers {
+		eventually(t, "records run", func() bool {
+			_, code := runProgram("record", "--server", c, "--service", "households", "--deadline", "1s", "warm-up")
+			return code == 0
+		})
+	}
+	return f
+}
+
+// An instance that is killed, or stands still, between the claim of a key and
+// the sending of its request: a repeat through another instance does not run
+// it a second time.
+func TestInstanceLostBetweenClaimAndSend(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		signal syscall.Signal
+	}{{"killed", syscall.SIGKILL}, {"frozen", syscall.SIGSTOP}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := readyFleet(t, 2)
+			f.platformFaults(t, cowslipstandin.PlatformFaults{LoseWrites: 1, Delay: 400 * time.Millisecond, DelayOnly: []string{"e1"}})
+			first := start(t, "record", "--server", f.callers[0], "--service", "households", "--deadline", "4s", "--key", "visit", "entry")
+			eventually(t, "key is claimed", func() bool { return f.claimed("visit") })
+			require.NoError(t, f.entries[0].Process.Signal(c.signal))
+			require.Zero(t, f.runs("entry"), "nothing was sent yet")
+			f.platformFaults(t, cowslipstandin.PlatformFaults{})
+			out, code := runProgram("record", "--server", f.callers[1], "--service", "households", "--deadline", "1s", "--key", "visit", "entry")
+			require.Equal(t, 5, code, out)
+			require.Zero(t, f.runs("entry"))
+			f.entries[0].Process.Signal(syscall.SIGCONT)
+			<-first.done
+			require.LessOrEqual(t, f.runs("entry"), 1)
+			out, _ = runProgram("record", "--server", f.callers[1], "--service", "households", "--deadline", "1s", "--key", "visit", "entry")
+			require.LessOrEqual(t, f.runs("entry"), 1, out)
+		})
+	}
+}
+
+// While the platform is away a keyed request is refused as not run, one
+// without a key is served; afterwards the keyed one runs once.
+func TestRecordsThroughAPlatformOutage(t *testing.T) {
+	f := readyFleet(t, 3)
+	f.platformFaults(t, cowslipstandin.PlatformFaults{Down: true})
+	out, code := runProgram("record", "--server", f.callers[0], "--service", "households", "--deadline", "1s", "--key", "visit", "keyed")
+	require.Equal(t, 4, code, out)
+	require.Zero(t, f.runs("keyed"))
+	out, code = runProgram("record", "--server", f.callers[1], "--service", "households", "--deadline", "1s", "unkeyed")
+	require.Equal(t, 0, code, out)
+	require.Equal(t, 1, f.runs("unkeyed"))
+	f.platformFaults(t, cowslipstandin.PlatformFaults{})
+	for i := range f.callers {
+		out, code = runProgram("record", "--server", f.callers[i], "--service", "households", "--deadline", "4s", "--key", "visit", "keyed")
+		require.Equal(t, 0, code, out)
+		require.Equal(t, i > 0, strings.Contains(out, "earlier call"), out)
+	}
+	require.Equal(t, 1, f.runs("keyed"))
+}
