--- /dev/null
+++ b/lifecycle_process_test.go
@@ -0,0 +1,136 @@
+package main_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cowslipflow/cowslipentry"
+	"cowslipflow/cowslipstandin"
+
+	"github.com/stretchr/testify/require"
+)
+
+// aFewSeconds is the bound of every promise that says "a few seconds".
+const aFewSeconds = 5 * time.Second
+
+// post sends a JSON request and returns the status, 0 if the request was cut.
+func post(url string, in any) int {
+	b, _ := json.Marshal(in)
+	c := http.Client{Timeout: patience}
+	r, err := c.Post(url, "application/json", bytes.NewReader(b))
+	if err != nil {
+		return 0
+	}
+	defer r.Body.Close()
+	if json.NewDecoder(r.Body).Decode(&struct{}{}) != nil {
+		return 0
+	}
+	return r.StatusCode
+}
+
+// An instance that stands still while operators take a failure domain out
+// sends nothing there when it wakes up.
+func TestFrozenInstanceAndFailureDomainOut(t *testing.T) {
+	f := readyFleet(t, 3)
+	require.NoError(t, f.entries[1].Process.Signal(syscall.SIGSTOP))
+	f.apply(t, "revision = 1\n"+strings.Replace(testText, "name = \"puerto\"\n", "name = \"puerto\"\nstate = \"out\"\n", 1))
+	accepted := time.Now()
+	time.Sleep(aFewSeconds)
+	require.NoError(t, f.entries[1].Process.Signal(syscall.SIGCONT))
+	for range 40 {
+		post(f.callers[1]+"/v1/query", cowslipentry.QueryRequest{Service: "diaries", DeadlineMillis: 200})
+	}
+	asked := 0
+	for _, x := range f.targets {
+		var r cowslipstandin.TargetRecord
+		require.NoError(t, getJSON("http://"+x.Addr+"/v1/runs", &r))
+		for _, y := range r.Runs {
+			asked++
+			require.False(t, x.FailureDomain == "puerto" && y.At.After(accepted.Add(aFewSeconds)), "%s ran a request", x.ID)
+		}
+	}
+	require.NotZero(t, asked)
+}
+
+// balancer sends requests to instances that say they are ready, as the
+// platform's does, and notices a change late.
+type balancer struct {
+	mu    sync.Mutex
+	ready []string
+	next  int
+}
+
+func (b *balancer) pick() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.next++
+	return b.ready[b.next%len(b.ready)]
+}
+
+func (b *balancer) set(urls []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = append([]string(nil), urls...)
+}
+
+// Every instance is replaced, one after the other, with queries and records in
+// flight: no request is cut, and each record that was answered ran once.
+func TestRollingReplacementCutsNothing(t *testing.T) {
+	f := readyFleet(t, 3)
+	b := &balancer{}
+	b.set(f.callers)
+	quit := make(chan bool)
+	var w sync.WaitGroup
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	ran := map[string]bool{}
+	for i := range 6 {
+		w.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-quit:
+					return
+				default:
+				}
+				body := fmt.Sprintf("entry %d.%d", i, n)
+				s := post(b.pick()+"/v1/record", cowslipentry.RecordRequest{Service: "households", Body: body, DeadlineMillis: 3000})
+				q := post(b.pick()+"/v1/query", cowslipentry.QueryRequest{Service: "diaries", DeadlineMillis: 1000})
+				mu.Lock()
+				statuses[s]++
+				statuses[q]++
+				ran[body] = s == 200
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range 3 {
+		f.startEntry(t, len(f.entries))
+		f.awaitReadyAt(t, f.callers[len(f.callers)-1])
+		b.set(f.callers[i:])
+		stopped := make(chan error)
+		go func() { stopped <- f.entries[i].stop(t) }()
+		time.Sleep(100 * time.Millisecond)
+		b.set(f.callers[i+1:])
+		require.NoError(t, <-stopped, "exit code 0")
+	}
+	close(quit)
+	w.Wait()
+	require.Zero(t, statuses[0], "requests cut: %v", statuses)
+	require.Zero(t, statuses[504], "%v", statuses)
+	require.NotZero(t, statuses[200])
+	counts := f.runCounts()
+	for body, ok := range ran {
+		if ok {
+			require.Equal(t, 1, counts[body], body)
+		} else {
+			require.Zero(t, counts[body], body)
+		}
+	}
+}
--- a/program_test.go
+++ b/program_test.go
@@ -176,10 +176,14 @@
 
 func (f *fleetOfProcesses) awaitReady(t *testing.T) {
 	for _, c := range f.callers {
-		eventually(t, "entry instance is ready", func() bool { return getJSON(c+"/v1/ready", &struct{}{}) == nil })
+		f.awaitReadyAt(t, c)
 	}
 }
 
+func (f *fleetOfProcesses) awaitReadyAt(t *testing.T, callers string) {
+	eventually(t, "entry instance is ready", func() bool { return getJSON(callers+"/v1/ready", &struct{}{}) == nil })
+}
+
 func getJSON(url string, v any) error {
 	c := http.Client{Timeout: patience}
 	r, err := c.Get(url)
--- a/record_process_test.go
+++ b/record_process_test.go
@@ -31,17 +31,20 @@
 	putJSON(t, f.platform+"/v1/faults", x)
 }
 
-// runs counts, by the targets' own records, how often a record's body ran.
-func (f *fleetOfProcesses) runs(body string) int {
-	n := 0
+// runs counts how often a record's body ran.
+func (f *fleetOfProcesses) runs(body string) int { return f.runCounts()[body] }
+
+// runCounts counts, by the targets' own records, how often each record ran.
+func (f *fleetOfProcesses) runCounts() map[string]int {
+	n := map[string]int{}
 	for _, i := range f.targets {
 		var r cowslipstandin.TargetRecord
 		if i.Service != "households" || getJSON("http://"+i.Addr+"/v1/runs", &r) != nil {
 			continue
 		}
 		for _, x := range r.Runs {
-			if x.Record && x.Ran && x.Text == body {
-				n++
+			if x.Record && x.Ran {
+				n[x.Text]++
 			}
 		}
 	}
