Hold a restarted target until its ramp's limit is set; judge crashes by independent deaths

Cause 1: eight instances sent up to 10 requests at once to a target that had just restarted: the report of its new run cleared the hold at once, and until the next tick the limit of the run before stood. Cause 2: a target that died under a popular request had that request quarantined, since each request under way counted as a crash. Ruled out: late releases of cancelled requests (no overload is left after the first change); waiting longer after a disconnect. Change: a hold ends by number, in the tick that sets the limit; a crash counts only if no target answered the same request, and two crashes only if both the request and the dead run differ; an answer clears a suspect. A request that crashes only the holders of one shard, while others answer it, is not quarantined.

--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -67,7 +67,8 @@
 	viewDirty    bool
 	serviceDirty map[string]bool // to be published anew
 	targetsDirty map[string]bool // whose snapshots are to be built anew, too
-	quarantined  map[uint64]bool
+	crashesDirty bool
+	cleared      map[uint64]time.Time // suspects found harmless, by fingerprint
 	view         *cowsliproute.View
 	crashers     map[uint64]cowsliproute.Verdict
 	effects      Effects
@@ -93,7 +94,7 @@
 		freshness: &cowsliproute.Freshness{}, scope: cowsliproute.ScopeNone,
 		targetAt: map[string]int{}, byAddr: map[string]*cowsliproute.Target{}, services: map[string]*service{},
 		outcomes: map[string]*cowslipmessage.Outcome{}, stops: map[string]*cowslipmessage.Stop{},
-		serviceDirty: map[string]bool{}, targetsDirty: map[string]bool{}, quarantined: map[uint64]bool{}, viewDirty: true, limitsDirty: true,
+		serviceDirty: map[string]bool{}, targetsDirty: map[string]bool{}, cleared: map[uint64]time.Time{}, viewDirty: true, limitsDirty: true,
 	}
 	return c
 }
--- a/cowslipcontrol/exchange.go
+++ b/cowslipcontrol/exchange.go
@@ -102,7 +102,7 @@
 		c.mergeStop(x)
 	}
 	for _, x := range s.GetCrashes() {
-		c.addCrash(crash{fingerprint: x.GetFingerprint(), incident: x.GetIncident(), service: x.GetService(), version: x.GetVersion(), at: now.Add(-time.Duration(x.GetAgeMillis()) * time.Millisecond)})
+		c.addCrash(crash{fingerprint: x.GetFingerprint(), incident: x.GetIncident(), death: x.GetDeath(), service: x.GetService(), version: x.GetVersion(), at: now.Add(-time.Duration(x.GetAgeMillis()) * time.Millisecond)})
 	}
 }
 
--- /dev/null
+++ b/cowslipcontrol/hold_test.go
@@ -0,0 +1,46 @@
+package cowslipcontrol_test
+
+import (
+	"testing"
+	"time"
+
+	"cowslipflow/cowsliptarget"
+
+	"github.com/stretchr/testify/require"
+)
+
+// warmBench has one target whose ramp is over.
+func warmBench(t *testing.T) *bench {
+	b := newBench(t, "e1", "cerro")
+	b.c.Stored(b.now, accepted(t, 1, text(time.Time{})))
+	b.addTarget("d0", "diaries", "cerro", "v1")
+	b.report("d0", "run1")
+	b.advance(t0.Add(11 * time.Second))
+	require.Equal(t, 2, b.target("d0").Limit())
+	return b
+}
+
+// A target whose connection ended and that answers as a new run must not
+// receive by its old limit before the next tick has set that of its ramp.
+func TestHoldLastsUntilTheLimitIsSet(t *testing.T) {
+	b := warmBench(t)
+	h := b.target("d0")
+	h.Hold()
+	b.c.Reported(b.now, h, cowsliptarget.Report{Incarnation: "run2"}, h.Held())
+	require.False(t, h.Acquire(), "the limit of the run before still stands")
+	b.tick()
+	require.Equal(t, 1, h.Limit())
+	require.True(t, h.Acquire())
+}
+
+// A report asked for before the connection ended says nothing of the run
+// after.
+func TestReportFromBeforeTheHold(t *testing.T) {
+	b := warmBench(t)
+	h := b.target("d0")
+	asked := h.Held()
+	h.Hold()
+	b.c.Reported(b.now, h, cowsliptarget.Report{Incarnation: "run1"}, asked)
+	b.tick()
+	require.False(t, h.Acquire())
+}
--- a/cowslipcontrol/limits.go
+++ b/cowslipcontrol/limits.go
@@ -23,6 +23,11 @@
 	m := c.senders()
 	for i := range c.targets {
 		t := &c.targets[i]
+		if t.answered != 0 {
+			t.handle.SetLimit(0)
+			t.handle.Clear(t.answered)
+			t.answered = 0
+		}
 		t.handle.SetLimit(c.limit(now, t, m))
 	}
 	c.keepShards(now, m)
@@ -53,7 +58,7 @@
 }
 
 // usable tells whether a target may be asked now.
-func (c *Control) usable(t *target) bool { return c.serving(t) && !t.handle.Held() }
+func (c *Control) usable(t *target) bool { return c.serving(t) && t.handle.Held() == 0 }
 
 func (c *Control) capacity(now time.Time, t *target, senders []string) int {
 	i := t.handle.Info()
--- a/cowslipcontrol/membership.go
+++ b/cowslipcontrol/membership.go
@@ -27,6 +27,7 @@
 	since       time.Time // when any entry instance first saw the incarnation, or found it cold again
 	reported    time.Time // last report heard directly
 	unlisted    time.Time // zero while the platform lists it
+	answered    int64     // hold after which a report was asked for and came
 	listLeaving bool
 	selfLeaving bool
 	cold        bool
--- a/cowslipcontrol/mesh_test.go
+++ b/cowslipcontrol/mesh_test.go
@@ -146,7 +146,7 @@
 		sum := 0
 		for i, b := range m.nodes {
 			t := b.target(x)
-			if m.alive[i] && t != nil && !t.Held() && !t.Leaving() {
+			if m.alive[i] && t != nil && t.Held() == 0 && !t.Leaving() {
 				sum += t.Limit()
 			}
 		}
--- a/cowslipcontrol/quarantine.go
+++ b/cowslipcontrol/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -19,21 +20,34 @@
 // crash is a row of the table of requests that took a target down.
 type crash struct {
 	fingerprint      uint64
-	incident         string
+	incident         string // the request, the same for all targets it took down
+	death            string // the target's run that ended, the same for all requests under way
 	service, version string
 	at               time.Time
 }
 
-// Crashed notes that a request took a target down. The incident is the same
-// for all targets that one query took down.
-func (c *Control) Crashed(now time.Time, fingerprint uint64, incident, service, version string) {
-	c.addCrash(crash{fingerprint: fingerprint, incident: incident, service: service, version: version, at: now})
+// Crash describes how a request took a target down.
+type Crash struct {
+	Fingerprint uint64
+	Incident    string // unique for the request, not for its sub-requests
+	Target      *cowsliproute.Target
+	Incarnation string // of the target's run that ended
+}
+
+// Crashed notes that a request took a target down. The caller leaves out those
+// of a request that another target answered well.
+func (c *Control) Crashed(now time.Time, x Crash) {
+	i := x.Target.Info()
+	c.addCrash(crash{fingerprint: x.Fingerprint, incident: x.Incident, death: i.ID + "/" + x.Incarnation, service: i.Service, version: i.Version, at: now})
 	c.effects.Push = true
 }
 
 func (c *Control) addCrash(x crash) {
+	if t, ok := c.cleared[x.fingerprint]; ok && !x.at.After(t) {
+		return
+	}
 	for _, y := range c.crashes {
-		if y.incident == x.incident && y.version == x.version {
+		if y.incident == x.incident && y.death == x.death {
 			return
 		}
 	}
@@ -41,44 +55,55 @@
 	if len(c.crashes) > maxCrashes {
 		c.crashes = c.crashes[1:]
 	}
-	c.crashers = nil
-	c.o.Event("requestCrashedTarget", fmt.Sprintf("%016x", x.fingerprint), "service "+x.service+" version "+x.version+" request "+x.incident)
+	c.crashesDirty = true
+	c.o.Event("requestCrashedTarget", fmt.Sprintf("%016x", x.fingerprint), "run "+x.death+" request "+x.incident)
+}
+
+// Exonerate notes that a target answered a suspect request well: what it was
+// suspected for had other causes.
+func (c *Control) Exonerate(now time.Time, fingerprint uint64) {
+	c.cleared[fingerprint] = now
+	c.crashes = slices.DeleteFunc(c.crashes, func(x crash) bool { return x.fingerprint == fingerprint })
+	c.crashesDirty = true
 }
 
-// runQuarantine forgets old crashes and counts those of each fingerprint.
+// runQuarantine forgets old crashes and judges each fingerprint.
 func (c *Control) runQuarantine(now time.Time) {
 	n := len(c.crashes)
 	c.crashes = slices.DeleteFunc(c.crashes, func(x crash) bool { return now.Sub(x.at) > quarantineTime })
-	if c.crashers != nil && len(c.crashes) == n {
+	maps.DeleteFunc(c.cleared, func(_ uint64, t time.Time) bool { return now.Sub(t) > quarantineTime })
+	if !c.crashesDirty && len(c.crashes) == n {
 		return
 	}
-	incidents := map[uint64]map[string]bool{}
-	for _, x := range c.crashes {
-		if incidents[x.fingerprint] == nil {
-			incidents[x.fingerprint] = map[string]bool{}
-		}
-		incidents[x.fingerprint][x.incident] = true
-	}
+	c.crashesDirty = false
+	before := c.crashers
 	c.crashers = map[uint64]cowsliproute.Verdict{}
-	for f, l := range incidents {
-		c.crashers[f] = cowsliproute.Suspect
-		if len(l) > 1 {
-			c.crashers[f] = cowsliproute.Quarantined
+	for i, x := range c.crashes {
+		c.crashers[x.fingerprint] = max(c.crashers[x.fingerprint], cowsliproute.Suspect)
+		if slices.ContainsFunc(c.crashes[:i], x.independent) {
+			c.crashers[x.fingerprint] = cowsliproute.Quarantined
 		}
-		if len(l) > 1 && !c.quarantined[f] {
-			c.quarantined[f] = true
+	}
+	for f, v := range c.crashers {
+		if v == cowsliproute.Quarantined && before[f] != v {
 			c.o.Event("requestQuarantined", fmt.Sprintf("%016x", f), "for "+quarantineTime.String()+" after its last crash")
 		}
 	}
-	for f := range c.quarantined {
-		if c.crashers[f] != cowsliproute.Quarantined {
-			delete(c.quarantined, f)
+	for f, v := range before {
+		if v == cowsliproute.Quarantined && c.crashers[f] != v {
 			c.o.Event("requestReleased", fmt.Sprintf("%016x", f), "its quarantine is over")
 		}
 	}
 	c.viewDirty = true
 }
 
+// independent tells whether two crashes of a fingerprint are neither of the
+// same request, sent to many targets, nor of the same death of a target, under
+// many requests.
+func (x crash) independent(y crash) bool {
+	return x.fingerprint == y.fingerprint && x.incident != y.incident && x.death != y.death
+}
+
 // crashedBy counts the different requests that crashed a move's new version
 // and did not crash the old one too.
 func (c *Control) crashedBy(m *move) int {
@@ -99,7 +124,7 @@
 func (c *Control) crashMessages(now time.Time) []*cowslipmessage.Crash {
 	var l []*cowslipmessage.Crash
 	for _, x := range c.crashes {
-		l = append(l, &cowslipmessage.Crash{Fingerprint: x.fingerprint, Incident: x.incident, Service: x.service, Version: x.version, AgeMillis: now.Sub(x.at).Milliseconds()})
+		l = append(l, &cowslipmessage.Crash{Fingerprint: x.fingerprint, Incident: x.incident, Service: x.service, Version: x.version, Death: x.death, AgeMillis: now.Sub(x.at).Milliseconds()})
 	}
 	return l
 }
--- a/cowslipcontrol/sample.go
+++ b/cowslipcontrol/sample.go
@@ -106,11 +106,18 @@
 	}
 }
 
-// Reported handles a target's own report of itself, asked for or come with an
-// answer.
-func (c *Control) Reported(now time.Time, h *cowsliproute.Target, r cowsliptarget.Report) {
-	if t := c.row(h); t != nil && r.Incarnation != "" {
-		c.report(now, t, r)
+// Reported handles a target's own report of itself that was asked for. Hold is
+// what the target's Held was before it was asked; that hold ends, once the next
+// tick has set the target's limit.
+func (c *Control) Reported(now time.Time, h *cowsliproute.Target, r cowsliptarget.Report, hold int64) {
+	t := c.row(h)
+	if t == nil || r.Incarnation == "" {
+		return
+	}
+	c.report(now, t, r)
+	if hold != 0 {
+		t.answered = hold
+		c.limitsDirty = true
 	}
 }
 
@@ -136,10 +143,6 @@
 		c.effects.Push = true
 		c.noteLeaving(t, "its own signal")
 	}
-	if t.handle.Held() {
-		t.handle.Clear()
-		c.limitsDirty = true
-	}
 	if r.Leaving != t.selfLeaving {
 		t.selfLeaving = r.Leaving
 		c.effects.Push = true
@@ -180,7 +183,7 @@
 	var d []*cowsliproute.Target
 	for i := range c.targets {
 		t := &c.targets[i]
-		if t.handle.Held() || now.Sub(t.reported) >= reportInterval || t.holdings == nil {
+		if t.handle.Held() != 0 || now.Sub(t.reported) >= reportInterval || t.holdings == nil {
 			d = append(d, t.handle)
 		}
 	}
--- a/cowslipcontrol/trace_test.go
+++ b/cowslipcontrol/trace_test.go
@@ -144,7 +144,7 @@
 	for _, f := range change {
 		f(&r)
 	}
-	b.c.Reported(b.now, b.target(id), r)
+	b.c.Reported(b.now, b.target(id), r, b.target(id).Held())
 	b.tick()
 }
 
@@ -289,7 +289,7 @@
 	case "limit": // ID N
 		x := b.target(w[1])
 		n := x.Limit()
-		if x.Held() || x.Leaving() {
+		if x.Held() != 0 || x.Leaving() {
 			n = 0
 		}
 		return fmt.Sprint(n) == w[2]
--- /dev/null
+++ b/cowslipentry/cold_test.go
@@ -0,0 +1,124 @@
+package cowslipentry_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"cowslipflow/cowslipstandin"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	coldFor   = 2 * time.Second
+	allNodes  = 8
+	restartIn = 50 * time.Millisecond
+)
+
+// coldText is wideText with targets that stay cold for coldFor.
+var coldText = `
+[[failureDomains]]
+name = "cerro"
+[[failureDomains]]
+name = "plan"
+[[failureDomains]]
+name = "puerto"
+[[services]]
+name = "diaries"
+kind = "wide"
+version = "v1"
+shards = 8
+slots = 2
+connections = 25
+warmTime = "2s"
+coldSlots = 1
+deadline = "2s"
+`
+
+func coldTarget() cowslipstandin.TargetOptions {
+	return cowslipstandin.TargetOptions{Service: "diaries", Version: "v1", Slots: 2, Queue: 4, Connections: 25, Latency: 4 * time.Millisecond, WarmTime: coldFor, ColdSlots: 1}
+}
+
+func (c *cluster) coldOverloads() (n, runs int) {
+	for _, x := range c.targets {
+		r := x.Record()
+		n += r.ColdOverloads
+		for _, y := range r.Runs {
+			if y.Cold && y.Ran {
+				runs++
+			}
+		}
+	}
+	return n, runs
+}
+
+// Eight instances under load: targets that start, or a whole failure domain
+// that returns, receive no more at once than a cold target bears, counted by
+// the targets over all instances together, also while the platform is away.
+func TestColdTargetsBearTheirLoad(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		fault func(c *cluster)
+	}{
+		{"one target restarts at its address", func(c *cluster) { require.NoError(c.t, c.targets[0].Restart(restartIn)) }},
+		{"a whole failure domain returns", func(c *cluster) { c.restartDomain("plan") }},
+		{"a whole failure domain returns while the platform is away", func(c *cluster) {
+			c.platform.SetFaults(cowslipstandin.PlatformFaults{Down: true})
+			c.restartDomain("plan")
+		}},
+		{"a target restarts while an instance joins", func(c *cluster) {
+			c.addNode()
+			require.NoError(c.t, c.targets[1].Restart(restartIn))
+		}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := newCluster(t)
+			c.addTargets(coldTarget(), 8, 2, 1)
+			c.start(allNodes, coldText)
+			c.awaitWhole("diaries")
+			stop := ask(c, "diaries")
+			time.Sleep(time.Second)
+			x.fault(c)
+			time.Sleep(coldFor + time.Second)
+			stop()
+			n, runs := c.coldOverloads()
+			require.Zero(t, n, "requests over what a cold target bears")
+			require.NotZero(t, runs, "cold targets were tried")
+		})
+	}
+}
+
+func (c *cluster) restartDomain(domain string) {
+	var w sync.WaitGroup
+	for _, x := range c.targets {
+		if x.Options().FailureDomain == domain {
+			w.Go(func() { _ = x.Restart(restartIn) })
+		}
+	}
+	w.Wait()
+}
+
+// A target that turns cold without notice is found out by its first reports.
+// What was under way or in the same moment cannot be called back; from 1 s
+// later it bears its load.
+func TestColdAgainWithoutNotice(t *testing.T) {
+	c := newCluster(t)
+	c.addTargets(coldTarget(), 8, 2, 1)
+	c.start(allNodes, coldText)
+	c.awaitWhole("diaries")
+	time.Sleep(coldFor)
+	stop := ask(c, "diaries")
+	time.Sleep(500 * time.Millisecond)
+	c.targets[0].Chill()
+	at := time.Now()
+	time.Sleep(coldFor)
+	stop()
+	over := 0
+	for _, r := range c.targets[0].Record().Runs {
+		if r.Cold && r.Ran && r.Running > 1 && r.At.After(at.Add(time.Second)) {
+			over++
+		}
+	}
+	require.Zero(t, over)
+}
--- a/cowslipentry/probe.go
+++ b/cowslipentry/probe.go
@@ -35,11 +35,12 @@
 		ctx, cancel := context.WithTimeout(e.life, probeTimeout)
 		defer cancel()
 		e.metrics.probes.Add(1)
+		h := t.Held()
 		r, o := e.client.Status(ctx, t.Info().Addr)
 		if o != cowsliptarget.OK {
 			return
 		}
-		e.do(func(now time.Time, c *cowslipcontrol.Control) { c.Reported(now, t, r) })
+		e.do(func(now time.Time, c *cowslipcontrol.Control) { c.Reported(now, t, r, h) })
 	})
 	if err != nil {
 		e.probing.Delete(t)
--- a/cowslipentry/record.go
+++ b/cowslipentry/record.go
@@ -102,6 +102,12 @@
 	x := cowslipcontrol.Sample{Target: t, Route: c.route, Outcome: o, Report: report, Latency: e.clock.Since(start), At: e.clock.Now()}
 	e.metrics.needed.Add(1)
 	e.metrics.sent.Add(1)
-	e.settle(ctx, &x, digest, c.id)
+	k := e.settle(ctx, &x, digest, c.id)
+	switch {
+	case k != nil:
+		e.do(func(now time.Time, c *cowslipcontrol.Control) { c.Crashed(now, *k) })
+	case o == cowsliptarget.OK && c.view.Crasher(digest) == cowsliproute.Suspect:
+		e.do(func(now time.Time, c *cowslipcontrol.Control) { c.Exonerate(now, digest) })
+	}
 	return v.Result, o
 }
--- a/cowslipentry/search.go
+++ b/cowslipentry/search.go
@@ -112,10 +112,12 @@
 	return l, nil
 }
 
-// ended is the end of an attempt.
+// ended is the end of an attempt. The crash is set if the target went down with
+// the request.
 type ended struct {
 	attempt int
 	reply   cowslipquery.Reply
+	crash   *cowslipcontrol.Crash
 }
 
 // run is one query under way: the state machine, and the attempts that it
@@ -127,6 +129,7 @@
 	query   *cowslipquery.Query
 	ends    chan ended
 	cancels map[int]context.CancelFunc
+	crashes []cowslipcontrol.Crash
 }
 
 // searchService runs a query over one service, anew with a newer view if the
@@ -143,6 +146,7 @@
 		})
 		x := &run{Entry: e, call: c, service: s, query: q, ends: make(chan ended, 16), cancels: map[int]context.CancelFunc{}}
 		r := x.drive(ctx)
+		x.judge(r.Proven, single)
 		r.Sent += sent
 		if !r.Stale {
 			e.metrics.needed.Add(int64(r.Needed))
@@ -172,6 +176,9 @@
 		t := time.NewTimer(r.query.Next(n).Sub(n))
 		select {
 		case x := <-r.ends:
+			if x.crash != nil {
+				r.crashes = append(r.crashes, *x.crash)
+			}
 			r.act(ctx, r.query.Ended(r.clock.Now(), x.attempt, x.reply))
 		case <-t.C:
 			r.act(ctx, r.query.Tick(r.clock.Now()))
@@ -217,14 +224,32 @@
 	n := r.clock.Now()
 	p, report, o := r.client.Search(ctx, a.Target.Info().Addr, a.Search)
 	s := cowslipcontrol.Sample{Target: a.Target, Route: r.call.route, Outcome: o, Report: report, Latency: r.clock.Since(n), At: r.clock.Now()}
-	r.settle(ctx, &s, fingerprint(r.service.Name(), r.call.route, r.call.text), r.call.id)
-	r.end(ended{attempt: a.Attempt, reply: cowslipquery.Reply{Outcome: o, Reply: p, Crashed: s.Crashed}})
+	k := r.settle(ctx, &s, r.print(), r.call.id)
+	r.end(ended{attempt: a.Attempt, reply: cowslipquery.Reply{Outcome: o, Reply: p, Crashed: s.Crashed}, crash: k})
+}
+
+func (r *run) print() uint64 { return fingerprint(r.service.Name(), r.call.route, r.call.text) }
+
+// judge reports the targets that went down, unless another target answered the
+// same request: a request that crashes targets crashes each that runs it. An
+// answer clears a suspect.
+func (r *run) judge(proven, suspect bool) {
+	if proven && suspect {
+		r.do(func(now time.Time, c *cowslipcontrol.Control) { c.Exonerate(now, r.print()) })
+	}
+	if !proven && len(r.crashes) > 0 {
+		r.do(func(now time.Time, c *cowslipcontrol.Control) {
+			for _, x := range r.crashes {
+				c.Crashed(now, x)
+			}
+		})
+	}
 }
 
 // settle gives back the room of an ended request and passes on what it tells of
 // its target: a signal of leaving counts at once, and a connection that ended
 // without an answer may mean that the request took the target down.
-func (e *Entry) settle(ctx context.Context, s *cowslipcontrol.Sample, digest uint64, incident string) {
+func (e *Entry) settle(ctx context.Context, s *cowslipcontrol.Sample, digest uint64, incident string) *cowslipcontrol.Crash {
 	t := s.Target
 	if s.Report.Leaving {
 		t.SetLeaving(true)
@@ -233,25 +258,25 @@
 	if s.Outcome == cowsliptarget.OK {
 		t.ObserveLatency(s.Latency)
 	}
+	var k *cowslipcontrol.Crash
 	if s.Outcome == cowsliptarget.Lost {
+		k = &cowslipcontrol.Crash{Fingerprint: digest, Incident: incident, Target: t, Incarnation: t.Incarnation()}
 		t.Hold()
-		s.Crashed = e.crashed(t)
+		if s.Crashed = e.crashed(t, k.Incarnation); !s.Crashed {
+			k = nil
+		}
 	}
 	t.Release()
 	if s.Crashed {
 		e.metrics.crashes.Add(1)
-		i := t.Info()
-		e.do(func(now time.Time, c *cowslipcontrol.Control) {
-			c.Crashed(now, digest, incident, i.Service, i.Version)
-		})
 	}
 	e.sample(*s)
+	return k
 }
 
 // crashed tells whether a target whose connection ended is gone or has started
 // anew.
-func (e *Entry) crashed(t *cowsliproute.Target) bool {
-	before := t.Incarnation()
+func (e *Entry) crashed(t *cowsliproute.Target, before string) bool {
 	ctx, cancel := context.WithTimeout(e.life, crashProbeTimeout)
 	defer cancel()
 	r, o := e.client.Status(ctx, t.Info().Addr)
--- a/cowslipquery/query.go
+++ b/cowslipquery/query.go
@@ -66,6 +66,7 @@
 	Sent         int                  `json:"sent"`
 	Shed         int                  `json:"shed"`
 	Crashed      bool                 `json:"crashed"`
+	Proven       bool                 `json:"-"` // a target answered the request
 	Stale        bool                 `json:"-"` // given up early, since the view no longer fits what targets hold; to be run again with a newer one
 }
 
@@ -188,7 +189,7 @@
 
 // Result is the answer. It is final once Done.
 func (q *Query) Result() Result {
-	r := Result{Stale: q.stale, OwnOnly: q.ownOnly, Needed: q.needed, Sent: q.sent, Shed: q.shed, Crashed: q.crashed, Items: []cowsliptarget.Item{}}
+	r := Result{Stale: q.stale, Proven: q.proven, OwnOnly: q.ownOnly, Needed: q.needed, Sent: q.sent, Shed: q.shed, Crashed: q.crashed, Items: []cowsliptarget.Item{}}
 	if s := q.o.Service.Snapshots(); q.snapshot < len(s) {
 		r.IndexVersion = s[q.snapshot].IndexVersion
 	}
--- a/cowsliproute/target.go
+++ b/cowsliproute/target.go
@@ -26,7 +26,8 @@
 	load     atomic.Int64
 	latency  atomic.Int64
 	leaving  atomic.Bool
-	held     atomic.Bool
+	holds    atomic.Int64 // so far
+	held     atomic.Int64 // number of the hold that is on, 0 if none is
 
 	incarnation atomic.Pointer[string]
 }
@@ -46,15 +47,15 @@
 // InFlight is how many requests this process has in flight at it.
 func (t *Target) InFlight() int { return int(t.inFlight.Load()) }
 
-// Hold stops new requests until the next SetLimit after Clear: its connection
-// ended, so it may have started anew and be cold.
-func (t *Target) Hold() { t.held.Store(true) }
+// Hold stops new requests: the target's connection ended, so it may have
+// started anew and be cold.
+func (t *Target) Hold() { t.held.Store(t.holds.Add(1)) }
 
-// Clear ends a Hold.
-func (t *Target) Clear() { t.held.Store(false) }
+// Held is the number of the hold that is on, 0 if none is.
+func (t *Target) Held() int64 { return t.held.Load() }
 
-// Held tells whether a Hold is on.
-func (t *Target) Held() bool { return t.held.Load() }
+// Clear ends the hold of that number; a later one stays on.
+func (t *Target) Clear(hold int64) { t.held.CompareAndSwap(hold, 0) }
 
 // SetIncarnation notes which run of the target answered last.
 func (t *Target) SetIncarnation(i string) { t.incarnation.Store(&i) }
@@ -94,7 +95,7 @@
 
 // Acquire takes room for one request, to be given back by Release.
 func (t *Target) Acquire() bool {
-	if t.leaving.Load() || t.held.Load() {
+	if t.leaving.Load() || t.held.Load() != 0 {
 		return false
 	}
 	if t.inFlight.Add(1) > t.limit.Load() {
@@ -109,7 +110,7 @@
 
 // room tells whether Acquire would succeed, without taking.
 func (t *Target) room() bool {
-	return !t.leaving.Load() && !t.held.Load() && t.inFlight.Load() < t.limit.Load()
+	return !t.leaving.Load() && t.held.Load() == 0 && t.inFlight.Load() < t.limit.Load()
 }
 
 // idle tells whether the target has a free slot as far as is known.
--- a/lifecycle_process_test.go
+++ b/lifecycle_process_test.go
@@ -59,6 +59,9 @@
 	require.NotZero(t, asked)
 }
 
+// slowRecord makes records run longer than the servers take to close.
+const slowRecord = 600 * time.Millisecond
+
 // balancer sends requests to instances that say they are ready, as the
 // platform's does, and notices a change late.
 type balancer struct {
@@ -84,6 +87,11 @@
 // flight: no request is cut, and each record that was answered ran once.
 func TestRollingReplacementCutsNothing(t *testing.T) {
 	f := readyFleet(t, 3)
+	for _, x := range f.targets {
+		if x.Service == "households" {
+			putJSON(t, "http://"+x.Addr+"/v1/faults", cowslipstandin.TargetFaults{Extra: slowRecord})
+		}
+	}
 	b := &balancer{}
 	b.set(f.callers)
 	quit := make(chan bool)
