--- a/cowsliptarget/client_test.go
+++ b/cowsliptarget/client_test.go
@@ -122,10 +122,13 @@
 	return n, err
 }
 
-// The end of the connection can be judged before the write of the request has
+// An answer that is cut off can be judged before the write of the request has
 // returned; the request has left all the same.
 func TestLostWhileTheWriteReturns(t *testing.T) {
-	a := raw(t, func(n net.Conn) { request(n) })
+	a := raw(t, func(n net.Conn) {
+		request(n)
+		io.WriteString(n, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{")
+	})
 	k := cowsliptarget.NewClient(cowsliptarget.Options{Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
 		n, err := new(net.Dialer).DialContext(ctx, network, addr)
 		return slowWriter{n}, err
