Judge moves by pooled evidence against what the old version does at the same time

Cause: thresholds on raw shares took good versions back (4 of 194 against 1 of 263 in one failure domain, or trouble that befell both versions) and noticed slow ones late at little traffic (each instance needed its own 100 samples). Ruled out, each tried and replaced: fixed ratios; the shares since the start (confounded in time); a 10 s baseline alone (lags); a baseline of the last 20 requests (noise; frozen once the old version has no traffic); decay per second (forgets at little traffic). Change: pooled counts with latency buckets; expected failures accumulate from the old version's share in the same failure domain and second; a binomial test by route and failure domain, by route, and over all, with doubt for few requests. A canary's failed parts fall back without costing the retry budget, and a preferred version without room does not keep a query waiting.

--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -61,6 +61,8 @@
 	outcomes map[string]*cowslipmessage.Outcome
 	stops    map[string]*cowslipmessage.Stop
 
+	retired map[evidenceKey]counts // of peers that are gone
+
 	seq          uint64
 	limitsDue    time.Time
 	limitsDirty  bool
@@ -94,7 +96,7 @@
 		freshness: &cowsliproute.Freshness{}, scope: cowsliproute.ScopeNone,
 		targetAt: map[string]int{}, byAddr: map[string]*cowsliproute.Target{}, services: map[string]*service{},
 		outcomes: map[string]*cowslipmessage.Outcome{}, stops: map[string]*cowslipmessage.Stop{},
-		serviceDirty: map[string]bool{}, targetsDirty: map[string]bool{}, cleared: map[uint64]time.Time{}, viewDirty: true, limitsDirty: true,
+		serviceDirty: map[string]bool{}, targetsDirty: map[string]bool{}, cleared: map[uint64]time.Time{}, retired: map[evidenceKey]counts{}, viewDirty: true, limitsDirty: true,
 	}
 	return c
 }
--- a/cowslipcontrol/evidence.go
+++ b/cowslipcontrol/evidence.go
@@ -2,53 +2,105 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"cowslipflow/cowslipmessage"
 	"cowslipflow/cowsliptarget"
 )
 
-// Thresholds of a fault. A version is at fault on a route if, in one failure
-// domain, its share of failures, or of answers slower than the old version's
-// slowQuantile, is over the floor and over the ratio of the old version's.
+// Constants of pooling evidence.
 const (
-	minErrors     = 3
-	errorFloor    = 0.02
-	errorRatio    = 3
-	minSlow       = 8
-	slowFloor     = 0.25
-	slowRatio     = 3
-	crashesFault  = 3 // different requests that crashed the new version
-	windowStep    = time.Second
-	windowCount   = 10
-	minSlowBound  = 5 * time.Millisecond
-	slowBoundBase = 2 // an answer is slow from this multiple of the old version's quantile
-	maxRoutes     = 64
+	windowStep   = time.Second
+	windowCount  = 10
+	maxRoutes    = 64
+	crashesFault = 3 // different requests that crashed the new version
+)
+
+// Buckets of latencies: each bound is bucketRatio times the one before. An
+// answer is slow if it is slowBuckets over the old version's slowQuantile.
+const (
+	bucketCount    = 40
+	firstBucket    = 100 * time.Microsecond
+	bucketRatio    = math.Sqrt2
+	slowBuckets    = 2
+	slowQuantile   = 0.95
+	longWeight     = 300 // requests that the longer mean remembers
+	latencyNeeded  = 20  // answers from which the latency is known
+	baselineNeeded = 60  // requests of the old version from which it is known
 )
 
 type evidenceKey struct {
 	move, version, route, domain string
 }
 
+// counts are the requests of one key. Latencies are those of good answers.
 type counts struct {
-	requests, errors, slow uint64
+	requests, errors uint64
+	latencies        [bucketCount]uint64
+}
+
+func bucketOf(d time.Duration) int {
+	b := math.Log(float64(max(d, firstBucket))/float64(firstBucket)) / math.Log(bucketRatio)
+	return min(int(b), bucketCount-1)
 }
 
 func (a counts) plus(b counts) counts {
-	return counts{a.requests + b.requests, a.errors + b.errors, a.slow + b.slow}
+	a.requests += b.requests
+	a.errors += b.errors
+	for i, n := range b.latencies {
+		a.latencies[i] += n
+	}
+	return a
 }
 
+// minus gives what was added since b.
 func (a counts) minus(b counts) counts {
-	if b.requests > a.requests || b.errors > a.errors || b.slow > a.slow {
-		return a // a peer that started anew counts from zero
+	a.requests -= b.requests
+	a.errors -= b.errors
+	for i, n := range b.latencies {
+		a.latencies[i] -= min(n, a.latencies[i])
+	}
+	return a
+}
+
+func (a counts) answers() uint64 {
+	var n uint64
+	for _, x := range a.latencies {
+		n += x
 	}
-	return counts{a.requests - b.requests, a.errors - b.errors, a.slow - b.slow}
+	return n
+}
+
+// slowFrom is the bucket from which an answer is slow against these, and
+// whether there are enough to tell.
+func (a counts) slowFrom() (int, bool) {
+	n := a.answers()
+	if n < latencyNeeded {
+		return 0, false
+	}
+	var sum uint64
+	for i, x := range a.latencies {
+		if sum += x; float64(sum) >= slowQuantile*float64(n) {
+			return i + slowBuckets, true
+		}
+	}
+	return bucketCount, true
+}
+
+func (a counts) slow(from int) uint64 {
+	var n uint64
+	for i := from; i < bucketCount; i++ {
+		n += a.latencies[i]
+	}
+	return n
 }
 
 // window is the pooled evidence at one time.
 type window struct {
-	at     time.Time
-	pooled map[evidenceKey]counts
+	at      time.Time
+	pooled  map[evidenceKey]counts
+	tallies map[evidenceKey]tally
 }
 
 // observeMove counts a request as evidence of the move of its service. A
@@ -70,31 +122,17 @@
 		}
 		x := m.own[k]
 		x.requests++
-		if s.Outcome != cowsliptarget.OK {
+		if s.Outcome == cowsliptarget.OK {
+			x.latencies[bucketOf(s.Latency)]++
+		} else {
 			x.errors++
 		}
-		if b := c.slowBound(i.Service, s.Route); s.Outcome == cowsliptarget.OK && b > 0 && s.Latency > b {
-			x.slow++
-		}
 		m.own[k] = x
 		m.route(s.Route)
 		return
 	}
 }
 
-// slowBound is the latency from which an answer counts as slow; 0 if unknown.
-func (c *Control) slowBound(name, route string) time.Duration {
-	l := c.services[name].routes[route]
-	if l == nil {
-		return 0
-	}
-	q := l.quantile(slowQuantile)
-	if q == 0 {
-		return 0
-	}
-	return max(slowBoundBase*q, minSlowBound)
-}
-
 // pooled adds up the evidence of all instances.
 func (c *Control) pooled(m *move) map[evidenceKey]counts {
 	p := make(map[evidenceKey]counts, len(m.own))
@@ -104,90 +142,141 @@
 	if c.o.NoPool {
 		return p
 	}
-	for i := range c.peers {
-		for k, x := range c.peers[i].evidence {
+	add := func(l map[evidenceKey]counts) {
+		for k, x := range l {
 			if k.move == m.config.ID() {
 				p[k] = p[k].plus(x)
 			}
 		}
 	}
+	add(c.retired)
+	for i := range c.peers {
+		add(c.peers[i].evidence)
+	}
 	return p
 }
 
-func (c *Control) pooledByRoute(m *move, version string) map[string]counts {
-	r := map[string]counts{}
-	for k, x := range c.pooled(m) {
-		if k.version == version {
-			r[k.route] = r[k.route].plus(x)
-		}
-		m.route(k.route)
+// retire keeps the evidence of a peer that is gone or started anew.
+func (c *Control) retire(p *peer) {
+	for k, x := range p.evidence {
+		c.retired[k] = c.retired[k].plus(x)
 	}
-	return r
+	clear(p.evidence)
 }
 
-// gather keeps the pooled evidence of the last seconds, so that a late fault
-// is not hidden by earlier success.
-func (c *Control) gather(now time.Time, m *move) {
+// gather pools the evidence once a windowStep, adds what is new to the tallies,
+// and keeps the last seconds, so that a late fault is not hidden by earlier
+// success. It tells whether there is a new window.
+func (c *Control) gather(now time.Time, m *move) bool {
 	if n := len(m.windows); n > 0 && now.Sub(m.windows[n-1].at) < windowStep {
-		return
+		return false
+	}
+	p := c.pooled(m)
+	m.noteBaseline(p)
+	for k, x := range p {
+		m.route(k.route)
+		if k.version == m.config.To() {
+			m.tallies[k] = m.tallies[k].plus(m.tallyOf(k, x.minus(m.latest()[k])))
+		}
+	}
+	t := make(map[evidenceKey]tally, len(m.tallies))
+	for k, x := range m.tallies {
+		t[k] = x
 	}
-	m.windows = append(m.windows, window{at: now, pooled: c.pooled(m)})
+	m.windows = append(m.windows, window{at: now, pooled: p, tallies: t})
 	if len(m.windows) > windowCount {
 		m.windows = m.windows[1:]
 	}
+	return true
 }
 
-// fault says what is wrong with a move's new version, empty if nothing.
-func (c *Control) fault(m *move) string {
-	if n := c.crashedBy(m); n >= crashesFault {
-		return fmt.Sprintf("%d different requests crashed version %s", n, m.config.To())
-	}
-	all := c.pooled(m)
-	for k, x := range all {
-		if k.version != m.config.To() {
+// noteBaseline keeps what the old version's share of bad requests is known
+// from: the shortest time up to now that holds enough requests, which follows
+// trouble that befalls both versions, and a longer mean, which is steadier.
+func (m *move) noteBaseline(p map[evidenceKey]counts) {
+	for k, x := range p {
+		if k.version != m.config.From() {
 			continue
 		}
-		o := k
-		o.version = m.config.From()
-		recent := x
-		before := all[o]
-		if len(m.windows) > 0 {
-			w := m.windows[0].pooled
-			recent = x.minus(w[k])
-			if b := before.minus(w[o]); b.requests > 0 {
-				before = b
-			}
+		b := m.baseline[k]
+		if b.short.requests < baselineNeeded {
+			b.short = x
 		}
-		if r := compare(k, recent, before); r != "" {
-			return r
-		}
-		if r := compare(k, x, all[o]); r != "" {
-			return r
+		for i := len(m.windows) - 1; i >= 0; i-- {
+			if r := x.minus(m.windows[i].pooled[k]); r.requests >= baselineNeeded {
+				b.short = r
+				break
+			}
 		}
+		b.long.add(x.minus(m.latest()[k]))
+		m.baseline[k] = b
 	}
-	return ""
 }
 
-// compare holds the new version's counts against the old one's.
-func compare(k evidenceKey, a, b counts) string {
-	if a.errors >= minErrors && exceeds(a.errors, a.requests, b.errors, b.requests, errorFloor, errorRatio) {
-		return describe("failures", k.route, k.domain, a, b, a.errors, b.errors)
+// latest is the pooled evidence last gathered.
+func (m *move) latest() map[evidenceKey]counts {
+	if len(m.windows) == 0 {
+		return nil
 	}
-	if a.slow >= minSlow && exceeds(a.slow, a.requests, b.slow, b.requests, slowFloor, slowRatio) {
-		return describe("slow answers", k.route, k.domain, a, b, a.slow, b.slow)
+	return m.windows[len(m.windows)-1].pooled
+}
+
+func (m *move) byRoute(version string) map[string]counts {
+	r := map[string]counts{}
+	for k, x := range m.latest() {
+		m.route(k.route)
+		if k.version == version {
+			r[k.route] = r[k.route].plus(x)
+		}
 	}
-	return ""
+	return r
 }
 
-func exceeds(x, n, y, m uint64, floor, ratio float64) bool {
-	a := float64(x) / float64(max(n, 1))
-	b := float64(y) / float64(max(m, 1))
-	return a > floor && a > ratio*b
+// fault says what is wrong with a move's new version, empty if nothing.
+func (c *Control) fault(now time.Time, m *move) string {
+	if n := c.crashedBy(m); n >= crashesFault {
+		return fmt.Sprintf("%d different requests crashed version %s", n, m.config.To())
+	}
+	if len(m.windows) == 0 {
+		return ""
+	}
+	first := m.windows[0].tallies
+	sums := map[scope]tally{}
+	recent := map[scope]tally{}
+	for k, x := range m.tallies {
+		for _, s := range []scope{{k.route, k.domain}, {k.route, ""}, {"", ""}} {
+			sums[s] = sums[s].plus(x.independent())
+			recent[s] = recent[s].plus(x.minus(first[k]).independent())
+		}
+	}
+	chance := faultChance
+	if m.progress(now) < rampFrom || !m.proven() {
+		chance = canaryChance
+	}
+	for s, x := range sums {
+		if r := x.fault(s, chance); r != "" {
+			return r
+		}
+		if r := recent[s].fault(s, chance); r != "" {
+			return r
+		}
+	}
+	return ""
 }
 
 func (c *Control) mergeEvidence(p *peer, l []*cowslipmessage.Evidence) {
 	for _, e := range l {
 		k := evidenceKey{e.GetMove(), e.GetVersion(), e.GetRoute(), e.GetFailureDomain()}
-		p.evidence[k] = counts{e.GetRequests(), e.GetErrors(), e.GetSlow()}
+		x := counts{requests: e.GetRequests(), errors: e.GetErrors()}
+		copy(x.latencies[:], e.GetLatencies())
+		p.evidence[k] = x
+	}
+}
+
+func evidenceMessage(k evidenceKey, x counts) *cowslipmessage.Evidence {
+	last := bucketCount
+	for last > 0 && x.latencies[last-1] == 0 {
+		last--
 	}
+	return &cowslipmessage.Evidence{Move: k.move, Version: k.version, Route: k.route, FailureDomain: k.domain, Requests: x.requests, Errors: x.errors, Latencies: x.latencies[:last]}
 }
--- a/cowslipcontrol/exchange.go
+++ b/cowslipcontrol/exchange.go
@@ -21,7 +21,7 @@
 	}
 	for i := range c.moves {
 		for k, x := range c.moves[i].own {
-			s.Evidence = append(s.Evidence, &cowslipmessage.Evidence{Move: k.move, Version: k.version, Route: k.route, FailureDomain: k.domain, Requests: x.requests, Errors: x.errors, Slow: x.slow})
+			s.Evidence = append(s.Evidence, evidenceMessage(k, x))
 		}
 	}
 	for _, x := range c.stops {
@@ -110,7 +110,7 @@
 	if p.incarnation != s.GetIncarnation() {
 		p.incarnation = s.GetIncarnation()
 		p.haveSeq, p.ackSeq = 0, 0
-		clear(p.evidence)
+		c.retire(p)
 		c.limitsDirty = true
 	}
 	if p.gone() || p.leaving != s.GetLeaving() {
--- a/cowslipcontrol/membership.go
+++ b/cowslipcontrol/membership.go
@@ -199,7 +199,11 @@
 		if !p.gone() {
 			away = forgetPeer
 		}
-		return !p.listed && now.Sub(last) > away
+		forget := !p.listed && now.Sub(last) > away
+		if forget {
+			c.retire(&p)
+		}
+		return forget
 	})
 	if len(c.peers) != n {
 		c.limitsDirty = true
--- a/cowslipcontrol/move.go
+++ b/cowslipcontrol/move.go
@@ -1,7 +1,6 @@
 package cowslipcontrol
 
 import (
-	"fmt"
 	"math"
 	"time"
 
@@ -15,6 +14,8 @@
 	rampFrom     = 0.2  // the canary's evidence is gathered before
 	rampTo       = 0.7  // all traffic goes to the new version from here
 	doneFrom     = 0.9  // the outcome is recorded from here
+	rareFrom     = 0.8  // a route with fewer than rareRequests moves without evidence of its own from here
+	rareRequests = 60   // of the old version
 	lateEvidence = 0.95 // a route with traffic but no evidence by now ends the move
 	firstShare   = 0.02 // share of the new version when its ramp starts
 	doubleEvery  = 0.02 // a route whose evidence came late doubles its share this often
@@ -27,6 +28,8 @@
 	own      map[evidenceKey]counts
 	routes   map[string]*moveRoute
 	windows  []window
+	baseline map[evidenceKey]baseline // of the old version
+	tallies  map[evidenceKey]tally    // of the new version
 	canary   bool
 	reported string // the last state put on the time line
 }
@@ -52,23 +55,26 @@
 		}
 	}
 	c.o.Event("moveStarted", m.ID(), "by "+m.By().UTC().Format(time.RFC3339))
-	return move{config: m, start: c.accepted.MoveStarts[m.ID()], own: map[evidenceKey]counts{}, routes: map[string]*moveRoute{}}
+	return move{config: m, start: c.accepted.MoveStarts[m.ID()], own: map[evidenceKey]counts{}, baseline: map[evidenceKey]baseline{}, tallies: map[evidenceKey]tally{}, routes: map[string]*moveRoute{}}
 }
 
 // runMoves judges the evidence of each move and decides its share and outcome.
 func (c *Control) runMoves(now time.Time) {
 	for i := range c.moves {
 		m := &c.moves[i]
-		if canary := c.chosen(m.config.ID(), c.senders(), 1); canary != m.canary {
+		joined := now.Sub(c.started) >= JoinGrace
+		if canary := joined && c.chosen(m.config.ID(), c.senders(), 1); canary != m.canary {
 			m.canary = canary
 			c.markMove(m)
 		}
-		c.gather(now, m)
+		fresh := c.gather(now, m)
 		if c.outcomes[m.config.ID()] != nil {
-			c.watchOutcome(m)
+			if fresh {
+				c.watchOutcome(now, m)
+			}
 			continue
 		}
-		if c.stops[m.config.ID()] == nil {
+		if fresh && c.stops[m.config.ID()] == nil {
 			c.judge(now, m)
 		}
 		c.decide(now, m)
@@ -82,23 +88,48 @@
 // judge stops the move if its new version is at fault on any route, and notes
 // the routes whose evidence suffices.
 func (c *Control) judge(now time.Time, m *move) {
-	if r := c.fault(m); r != "" {
+	if r := c.fault(now, m); r != "" {
 		c.stop(m, r)
 		return
 	}
 	f := m.progress(now)
-	for name, n := range c.pooledByRoute(m, m.config.To()) {
+	for name, n := range m.byRoute(m.config.To()) {
 		r := m.route(name)
 		if r.evidenceAt.IsZero() && n.requests >= neededEvidence(f) && float64(n.errors) <= errorFloor*float64(n.requests) {
 			r.evidenceAt = now
 			c.markMove(m)
 		}
 	}
+	if f >= rareFrom {
+		c.openRareRoutes(now, m)
+	}
 	if len(m.routes) > 0 && f >= rampFrom {
 		c.markMove(m)
 	}
 }
 
+// openRareRoutes opens the ramps of routes with too little traffic for any
+// evidence, if the version has proved itself on another route.
+func (c *Control) openRareRoutes(now time.Time, m *move) {
+	proven := m.proven()
+	old := m.byRoute(m.config.From())
+	for n, r := range m.routes {
+		if proven && r.evidenceAt.IsZero() && old[n].requests < rareRequests {
+			r.evidenceAt = now
+		}
+	}
+}
+
+// proven tells whether the canary's evidence sufficed on any route.
+func (m *move) proven() bool {
+	for _, r := range m.routes {
+		if !r.evidenceAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *move) route(name string) *moveRoute {
 	r := m.routes[name]
 	if r == nil {
@@ -172,11 +203,11 @@
 }
 
 // watchOutcome goes on judging a version that took over, for the operators.
-func (c *Control) watchOutcome(m *move) {
+func (c *Control) watchOutcome(now time.Time, m *move) {
 	if !c.outcomes[m.config.ID()].GetDone() || m.reported == "fault" {
 		return
 	}
-	if r := c.fault(m); r != "" {
+	if r := c.fault(now, m); r != "" {
 		m.reported = "fault"
 		c.o.Event("faultAfterMove", m.config.ID(), r)
 	}
@@ -271,8 +302,3 @@
 	}
 	return r
 }
-
-// describe says which figures show a fault.
-func describe(what, route, domain string, a, b counts, x, y uint64) string {
-	return fmt.Sprintf("%s on route %s in failure domain %s: %d of %d, against %d of %d before", what, route, domain, x, a.requests, y, b.requests)
-}
--- /dev/null
+++ b/cowslipcontrol/move_test.go
@@ -0,0 +1,368 @@
+package cowslipcontrol_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cowslipflow/cowslipcontrol"
+	"cowslipflow/cowslipmessage"
+	"cowslipflow/cowsliptarget"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	moveTime   = 2 * time.Minute
+	afterFault = 5 * time.Second
+	normal     = 10 * time.Millisecond
+)
+
+// request is one request of the simulated traffic.
+type request struct {
+	node    int
+	route   string
+	version string
+	domain  string
+	end     time.Time
+	latency time.Duration
+	outcome cowsliptarget.Outcome
+	crashed bool
+	release func()
+}
+
+// moving simulates traffic through several control states while a service
+// moves. What the targets ran is counted here, not by the control states.
+type moving struct {
+	t        *testing.T
+	r        *rand.Rand
+	now      time.Time
+	nodes    []*bench
+	perTick  float64 // requests
+	behave   func(m *moving, q *request)
+	platform bool
+	stored   map[string]*cowslipmessage.Outcome
+	pending  []*request
+
+	total, toNew, newAtOnce, peakAtOnce int
+	badToNew                            int
+	shown                               time.Time // when the new version's third bad answer came
+	afterShown                          int
+	lastNew                             time.Time
+	recent                              []string // versions of the last requests
+	reports                             []string
+}
+
+func newMoving(t *testing.T, nodes int, perSecond float64) *moving {
+	m := &moving{t: t, r: rand.New(rand.NewPCG(1, 2)), now: t0, perTick: perSecond * tick.Seconds(), platform: true, stored: map[string]*cowslipmessage.Outcome{}, behave: func(*moving, *request) {}}
+	for i := range nodes {
+		m.addNode(fmt.Sprint("e", i+1))
+	}
+	return m
+}
+
+func (m *moving) addNode(id string) {
+	b := newBench(m.t, id, domains[len(m.nodes)%3])
+	b.now = m.now
+	b.c = cowslipcontrol.New(cowslipcontrol.Options{ID: id, FailureDomain: domains[len(m.nodes)%3], Addr: "addr-" + id, Event: func(kind, subject, detail string) {
+		b.events = append(b.events, kind)
+		if kind == "moveDone" || kind == "moveTakenBack" {
+			m.reports = append(m.reports, kind+" "+detail)
+		}
+	}}, m.now.Add(-time.Hour))
+	b.c.Stored(m.now, accepted(m.t, 1, text(t0.Add(moveTime))))
+	b.tick()
+	for i, d := range domains {
+		for _, v := range []string{"v1", "v2"} {
+			id := fmt.Sprintf("%s-%s-%d", v, d, i%2)
+			b.addTarget(id, "diaries", d, v)
+			b.report(id, "run1")
+		}
+	}
+	m.nodes = append(m.nodes, b)
+}
+
+// run passes the time up to d after the start.
+func (m *moving) run(d time.Duration) {
+	credit := 0.0
+	for m.now.Before(t0.Add(d)) {
+		m.now = m.now.Add(tick)
+		m.finish()
+		for credit += m.perTick; credit >= 1; credit-- {
+			m.send()
+		}
+		push := false
+		for i, b := range m.nodes {
+			b.now = m.now
+			if m.platform {
+				b.c.Stored(m.now, accepted(m.t, 1, text(t0.Add(moveTime))))
+			}
+			b.tick()
+			m.record(i, b)
+			push = push || b.effects.Push
+			b.effects = cowslipcontrol.Effects{}
+		}
+		if push || m.now.Sub(t0)%(500*time.Millisecond) == 0 {
+			m.exchange()
+		}
+	}
+}
+
+func (m *moving) send() {
+	i := m.r.IntN(len(m.nodes))
+	b := m.nodes[i]
+	q := &request{node: i, route: "search", domain: domains[m.r.IntN(3)], latency: normal/2 + time.Duration(m.r.Int64N(int64(normal)))}
+	if m.r.IntN(4) == 0 {
+		q.route = "lookup"
+	}
+	prefer, _, release := b.view.Service("diaries").Versions(q.route, m.r.Float64())
+	q.version, q.release = prefer, release
+	m.behave(m, q)
+	q.end = m.now.Add(q.latency)
+	m.pending = append(m.pending, q)
+	m.total++
+	m.recent = append(m.recent, q.version)
+	if len(m.recent) > 200 {
+		m.recent = m.recent[1:]
+	}
+	if q.version != "v2" {
+		return
+	}
+	m.toNew++
+	m.newAtOnce++
+	m.peakAtOnce = max(m.peakAtOnce, m.newAtOnce)
+	m.lastNew = m.now
+	if !m.shown.IsZero() && m.now.After(m.shown.Add(afterFault)) {
+		m.afterShown++
+	}
+}
+
+// shareOfNew is the new version's share of the last requests.
+func (m *moving) shareOfNew() float64 {
+	n := 0
+	for _, v := range m.recent {
+		if v == "v2" {
+			n++
+		}
+	}
+	return float64(n) / float64(max(len(m.recent), 1))
+}
+
+func (m *moving) finish() {
+	var left []*request
+	for _, q := range m.pending {
+		if q.end.After(m.now) {
+			left = append(left, q)
+			continue
+		}
+		q.release()
+		if q.version == "v2" {
+			m.newAtOnce--
+			if q.outcome != cowsliptarget.OK || q.latency > 2*normal {
+				m.badToNew++
+			}
+			if m.badToNew == 3 && q.outcome != cowsliptarget.OK || m.badToNew == 10 {
+				m.shown = m.now
+			}
+		}
+		b := m.nodes[q.node]
+		id := fmt.Sprintf("%s-%s-%d", q.version, q.domain, map[string]int{"cerro": 0, "plan": 1, "puerto": 0}[q.domain])
+		b.c.Observe(cowslipcontrol.Sample{Target: b.target(id), Route: q.route, Outcome: q.outcome, Crashed: q.crashed, Latency: q.latency, At: m.now})
+		if q.crashed {
+			b.c.Crashed(m.now, cowslipcontrol.Crash{Fingerprint: m.r.Uint64(), Incident: fmt.Sprint(m.total, m.r.Uint64()), Target: b.target(id), Incarnation: fmt.Sprint(m.r.Uint64())})
+		}
+	}
+	m.pending = left
+}
+
+// record plays the platform's part for the ends of moves.
+func (m *moving) record(_ int, b *bench) {
+	if !m.platform {
+		return
+	}
+	for _, o := range b.effects.Outcomes {
+		won := m.stored[o.GetMove()] == nil
+		if won {
+			m.stored[o.GetMove()] = o
+		}
+		b.c.Outcome(m.stored[o.GetMove()], won)
+	}
+}
+
+func (m *moving) exchange() {
+	for i, a := range m.nodes {
+		for j, b := range m.nodes {
+			if i != j {
+				b.c.Message(m.now, time.Time{}, a.c.State(m.now, fmt.Sprint("e", j+1)))
+				a.c.Message(m.now, m.now, b.c.State(m.now, fmt.Sprint("e", i+1)))
+			}
+		}
+	}
+}
+
+func (m *moving) state() string { return m.nodes[0].c.Moves(m.now)[0].State }
+
+func failNew(share float64) func(*moving, *request) {
+	return func(m *moving, q *request) {
+		if q.version == "v2" && m.r.Float64() < share {
+			q.outcome = cowsliptarget.Failed
+		}
+	}
+}
+
+// A good version is done by its time, and reported once.
+func TestGoodVersionIsDoneInTime(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		perSecond float64
+		behave    func(*moving, *request)
+		during    func(m *moving)
+	}{
+		{"much traffic", 200, nil, nil},
+		{"little traffic", 1, nil, nil},
+		{"very little traffic", 0.2, nil, nil},
+		{"no traffic", 0, nil, nil},
+		{"a few failures of both versions", 200, func(m *moving, q *request) {
+			if m.r.IntN(200) == 0 {
+				q.outcome = cowsliptarget.Failed
+			}
+		}, nil},
+		{"a failure domain in trouble", 200, func(m *moving, q *request) {
+			if q.domain == "plan" && m.now.After(t0.Add(moveTime/5)) && m.r.IntN(3) == 0 {
+				q.outcome = cowsliptarget.Failed
+			}
+		}, nil},
+		{"platform away for most of it", 50, nil, func(m *moving) {
+			m.run(5 * time.Second)
+			m.platform = false
+			m.run(moveTime * 92 / 100)
+			m.platform = true
+		}},
+		{"an instance replaced in the middle", 50, nil, func(m *moving) {
+			m.run(moveTime / 2)
+			m.nodes[3].c.Leave()
+			m.exchange()
+			m.finish()
+			for _, q := range m.pending {
+				q.node = 0
+			}
+			m.nodes = append(m.nodes[:3], m.nodes[4:]...)
+			m.addNode("e9")
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			m := newMoving(t, 5, c.perSecond)
+			if c.behave != nil {
+				m.behave = c.behave
+			}
+			if c.during != nil {
+				c.during(m)
+			}
+			m.run(moveTime)
+			require.Equal(t, "done", m.state(), "%v", m.nodes[0].c.Moves(m.now))
+			require.Equal(t, []string{"moveDone all routes moved"}, m.reports)
+			m.run(moveTime + 10*time.Second)
+			if c.perSecond > 1 {
+				require.Equal(t, 1.0, m.shareOfNew())
+			}
+		})
+	}
+}
+
+// A bad version gets a small share, nothing a few seconds after its fault
+// shows, and is taken back, which is reported once.
+func TestBadVersionIsTakenBack(t *testing.T) {
+	slow := func(m *moving, q *request) {
+		if q.version == "v2" {
+			q.latency = 5 * normal
+		}
+	}
+	for _, c := range []struct {
+		name      string
+		perSecond float64
+		behave    func(*moving, *request)
+		at        time.Duration // when the fault starts
+		canary    bool          // the fault shows before there is evidence
+	}{
+		{"all fail at once", 200, failNew(1), 0, true},
+		{"a fifth fail", 200, failNew(0.2), 0, true},
+		{"little traffic", 2, failNew(1), 0, true},
+		{"slow", 200, slow, 0, true},
+		{"slow at little traffic", 5, slow, 0, true},
+		{"late", 200, failNew(0.3), moveTime * 6 / 10, false},
+		{"late and slow", 200, slow, moveTime * 6 / 10, false},
+		{"near the end", 200, failNew(0.3), moveTime * 85 / 100, false},
+		{"one route only", 200, func(m *moving, q *request) {
+			if q.version == "v2" && q.route == "lookup" {
+				q.outcome = cowsliptarget.Failed
+			}
+		}, 0, true},
+		{"one route only, late", 200, func(m *moving, q *request) {
+			if q.version == "v2" && q.route == "lookup" && m.r.IntN(3) == 0 {
+				q.outcome = cowsliptarget.Failed
+			}
+		}, moveTime / 2, false},
+		{"under load only", 200, func(m *moving, q *request) {
+			if q.version == "v2" && m.shareOfNew() > 0.3 && m.r.IntN(2) == 0 {
+				q.outcome = cowsliptarget.Failed
+			}
+		}, 0, false},
+		{"crashes under any request", 200, func(_ *moving, q *request) {
+			if q.version == "v2" {
+				q.outcome, q.crashed = cowsliptarget.Lost, true
+			}
+		}, 0, true},
+		{"fails while a crashing request goes about", 200, func(m *moving, q *request) {
+			failNew(0.3)(m, q)
+			if m.r.IntN(500) == 0 {
+				q.outcome, q.crashed = cowsliptarget.Lost, true
+			}
+		}, 0, true},
+	} {
+		for _, platform := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/platform %v", c.name, platform), func(t *testing.T) {
+				t.Parallel()
+				m := newMoving(t, 5, c.perSecond)
+				m.run(10 * time.Second)
+				m.platform = platform
+				m.run(c.at)
+				m.behave = c.behave
+				m.run(moveTime)
+				require.Zero(t, m.afterShown, "requests to the new version %v after its fault showed", afterFault)
+				if c.canary {
+					require.True(t, m.peakAtOnce <= 1 || float64(m.toNew) <= 0.01*float64(m.total), "%d of %d requests, %d at once", m.toNew, m.total, m.peakAtOnce)
+				}
+				m.platform = true
+				m.run(moveTime + 5*time.Second)
+				require.Equal(t, "takenBack", m.state(), "%v", m.nodes[0].c.Moves(m.now))
+				require.Len(t, m.reports, 1)
+				require.Zero(t, m.shareOfNew())
+			})
+		}
+	}
+}
+
+// At little traffic a few failures after a few good answers are judged late:
+// the canary's next requests come too seldom.
+func TestBadVersionAfterFewGoodAnswers(t *testing.T) {
+	m := newMoving(t, 5, 2)
+	m.r = rand.New(rand.NewPCG(5, 2))
+	m.run(10 * time.Second)
+	m.behave = failNew(1)
+	m.run(moveTime)
+	require.Zero(t, m.afterShown)
+}
+
+// A crashing request alone takes no good version back.
+func TestCrashingRequestBlamesNoVersion(t *testing.T) {
+	m := newMoving(t, 5, 200)
+	m.run(moveTime / 5)
+	b := m.nodes[0]
+	for i := range 10 {
+		b.c.Crashed(m.now, cowslipcontrol.Crash{Fingerprint: 7, Incident: fmt.Sprint("q", i), Target: b.target("v2-cerro-0"), Incarnation: fmt.Sprint("run", i)})
+	}
+	m.run(moveTime)
+	require.Equal(t, "done", m.state())
+}
--- a/cowslipcontrol/service.go
+++ b/cowslipcontrol/service.go
@@ -17,7 +17,6 @@
 const (
 	latencyWindow   = 5 * time.Second
 	hedgeQuantile   = 90
-	slowQuantile    = 95
 	hedgeSamples    = 100
 	minHedgeAfter   = time.Millisecond
 	hedgeFirstShare = 4 // without samples: a quarter of the deadline
@@ -34,7 +33,6 @@
 	canary    *atomic.Bool
 	snapshots []cowsliproute.Snapshot
 	latency   *latencies
-	routes    map[string]*latencies // of the version that serves, by route
 	hedge     time.Duration
 	rotated   time.Time
 	reprobed  time.Time
@@ -60,8 +58,8 @@
 	l.now.Reset()
 }
 
-// quantile gives the larger of the two windows' quantiles, 0 with too few
-// samples.
+// quantile gives a quantile of the window before, else of the present one; 0
+// with too few samples.
 func (l *latencies) quantile(q float64) time.Duration {
 	h := l.before
 	if h.TotalCount() < hedgeSamples {
@@ -80,7 +78,7 @@
 		keep[s.Name()] = true
 		r := c.services[s.Name()]
 		if r == nil {
-			r = &service{budget: &cowsliproute.Budget{}, limiter: &cowsliproute.Limiter{}, canary: &atomic.Bool{}, latency: newLatencies(), routes: map[string]*latencies{}}
+			r = &service{budget: &cowsliproute.Budget{}, limiter: &cowsliproute.Limiter{}, canary: &atomic.Bool{}, latency: newLatencies()}
 			r.budget.Earn(startBudget)
 			if c.o.NoAdmission {
 				r.limiter.Disable()
@@ -113,16 +111,6 @@
 		c.reprobe(s.At, i.Service, r)
 	case cowsliptarget.OK:
 		r.latency.add(s.Latency)
-		if i.Version == r.config.Version() {
-			l := r.routes[s.Route]
-			if l == nil && len(r.routes) < maxRoutes {
-				l = newLatencies()
-				r.routes[s.Route] = l
-			}
-			if l != nil {
-				l.add(s.Latency)
-			}
-		}
 	}
 }
 
@@ -152,9 +140,6 @@
 			h = min(max(q, minHedgeAfter), h)
 		}
 		s.latency.rotate()
-		for _, l := range s.routes {
-			l.rotate()
-		}
 		if h != s.hedge {
 			s.hedge = h
 			c.markService(n)
--- a/cowslipentry/snapshot_test.go
+++ b/cowslipentry/snapshot_test.go
@@ -64,6 +64,7 @@
 	var mu sync.Mutex
 	answers, whole := 0, 0
 	var bad error
+	var partial []string
 	for i := range c.nodes {
 		w.Go(func() {
 			for {
@@ -83,6 +84,10 @@
 				answers++
 				if a.Complete {
 					whole++
+				} else {
+					for _, x := range a.Answers {
+						partial = append(partial, fmt.Sprintf("missing %v, index version %d, %d needed, %d sent, %d shed, crashed %v", x.Coverage.Missing, x.IndexVersion, x.Needed, x.Sent, x.Shed, x.Crashed))
+					}
 				}
 				if x.err != nil && bad == nil {
 					bad = x.err
@@ -95,6 +100,9 @@
 		close(quit)
 		w.Wait()
 		require.NoError(c.t, bad)
+		for _, p := range partial[:min(len(partial), 5)] {
+			c.t.Log(p)
+		}
 		return answers, whole
 	}
 }
--- a/cowslipquery/query.go
+++ b/cowslipquery/query.go
@@ -301,9 +301,6 @@
 		if t := q.o.View.Pick(p.replicas, o, q.o.Rand); t != nil {
 			return t
 		}
-		if !idle && hasUntried(q.o.View, p, v, own) {
-			return nil
-		}
 	}
 	return nil
 }
@@ -363,6 +360,11 @@
 	case cowsliptarget.Shed, cowsliptarget.Expired:
 		q.shed++
 	}
+	if q.o.Fallback != "" && a.target.Info().Version == q.o.Prefer {
+		// Few requests prefer a version that is not proven yet; their parts are
+		// owed an answer by the one that is.
+		free = true
+	}
 	if p.active > 0 {
 		return
 	}
--- a/cowslipquery/query_test.go
+++ b/cowslipquery/query_test.go
@@ -295,6 +295,20 @@
 	require.True(t, r.Crashed)
 }
 
+// A preferred version without room does not keep a query waiting while the one
+// to fall back on has some.
+func TestPreferredVersionWithoutRoom(t *testing.T) {
+	s := snapshot(1, 8)
+	for i := range s.Parts {
+		x := target(fmt.Sprint("new", i), "cerro", "v2")
+		x.SetLimit(0)
+		s.Parts[i].Replicas = append(s.Parts[i].Replicas, x)
+	}
+	w := newWorld(t, ok, s)
+	r := w.run(w.query(func(o *cowslipquery.Options) { o.Prefer, o.Fallback = "v2", "v1" }))
+	require.Empty(t, r.Coverage.Missing)
+}
+
 func TestOwnFailureDomainOnlyWhileNotConfirmed(t *testing.T) {
 	w := newWorld(t, ok, snapshot(1, 8))
 	f := &cowsliproute.Freshness{}
