--- a/cowslipcontrol/move_test.go
+++ b/cowslipcontrol/move_test.go
@@ -46,12 +46,12 @@
 	pending  []*request
 
 	total, toNew, newAtOnce int
-	badToNew                            int
-	shown                               time.Time // when the new version's third bad answer came
-	afterShown                          int
-	overCanary                          int // requests over the bound for a version without evidence
-	recent                              []string // versions of the last requests
-	reports                             []string
+	badToNew                int
+	shown                   time.Time // when the new version's third bad answer came
+	afterShown              int
+	overCanary              int      // requests over the bound for a version without evidence
+	recent                  []string // versions of the last requests
+	reports                 []string
 }
 
 func newMoving(t *testing.T, nodes int, perSecond float64) *moving {
@@ -340,10 +340,11 @@
 					require.Zero(t, m.overCanary, "more than one request at once and 1%% of all")
 				}
 				m.platform = true
+				stopped := m.toNew
 				m.run(moveTime + 5*time.Second)
 				require.Equal(t, "takenBack", m.state(), "%v", m.nodes[0].c.Moves(m.now))
 				require.Len(t, m.reports, 1)
-				require.Zero(t, m.shareOfNew())
+				require.Equal(t, stopped, m.toNew, "no more requests to the new version")
 			})
 		}
 	}
--- /dev/null
+++ b/cowsliproute/view_test.go
@@ -0,0 +1,174 @@
+package cowsliproute_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cowslipflow/cowslipconfig"
+	"cowslipflow/cowsliproute"
+
+	"github.com/stretchr/testify/require"
+)
+
+var t0 = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func replicas(n int) []*cowsliproute.Target {
+	var l []*cowsliproute.Target
+	for i := range n {
+		t := cowsliproute.NewTarget(cowsliproute.TargetInfo{ID: fmt.Sprint("t", i), FailureDomain: []string{"cerro", "plan"}[i%2], Version: "v1", Slots: 2})
+		t.SetLimit(1 << 30)
+		l = append(l, t)
+	}
+	return l
+}
+
+func TestAcquire(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*cowsliproute.Target)
+		want   bool
+	}{
+		{"room", func(*cowsliproute.Target) {}, true},
+		{"no limit set", func(x *cowsliproute.Target) { x.SetLimit(0) }, false},
+		{"at its limit", func(x *cowsliproute.Target) { x.SetLimit(1); x.Acquire() }, false},
+		{"leaving", func(x *cowsliproute.Target) { x.SetLeaving(true) }, false},
+		{"held", func(x *cowsliproute.Target) { x.Hold() }, false},
+		{"an older hold cleared", func(x *cowsliproute.Target) { x.Hold(); h := x.Held(); x.Hold(); x.Clear(h) }, false},
+		{"the hold cleared", func(x *cowsliproute.Target) { x.Hold(); x.Clear(x.Held()) }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := replicas(1)[0]
+			c.change(x)
+			require.Equal(t, c.want, x.Acquire())
+		})
+	}
+}
+
+func TestPickPrefersTheIdleReplica(t *testing.T) {
+	v := cowsliproute.NewView(cowsliproute.ViewOptions{FailureDomain: "cerro"})
+	r := rand.New(rand.NewPCG(1, 2))
+	l := replicas(2)
+	l[0].SetLoad(4)
+	for range 20 {
+		x := v.Pick(l, cowsliproute.PickOptions{}, r)
+		require.Same(t, l[1], x)
+		x.Release()
+	}
+	require.Nil(t, v.Pick(l, cowsliproute.PickOptions{Version: "v2"}, r))
+	require.Same(t, l[0], v.Pick(l, cowsliproute.PickOptions{Own: true}, r))
+	require.Nil(t, v.Pick(l, cowsliproute.PickOptions{Own: true, Idle: true}, r))
+	require.Same(t, l[0], v.Pick(l, cowsliproute.PickOptions{Except: l[1:]}, r))
+}
+
+func TestPickAllocatesNothing(t *testing.T) {
+	v := cowsliproute.NewView(cowsliproute.ViewOptions{})
+	r := rand.New(rand.NewPCG(1, 2))
+	l := replicas(9)
+	require.Zero(t, testing.AllocsPerRun(1000, func() { v.Pick(l, cowsliproute.PickOptions{Version: "v1"}, r).Release() }))
+}
+
+func TestBudget(t *testing.T) {
+	var b cowsliproute.Budget
+	require.False(t, b.Spend())
+	for range 100 {
+		b.Earn(0.05)
+	}
+	n := 0
+	for b.Spend() {
+		n++
+	}
+	require.Equal(t, 5, n, "5% of 100 requests")
+	b.Earn(1000)
+	for n = 0; b.Spend(); n++ {
+	}
+	require.LessOrEqual(t, n, 10, "what was saved up is bounded")
+}
+
+func TestLimiterFollowsTheTargets(t *testing.T) {
+	var l cowsliproute.Limiter
+	now := t0
+	admitted := func(capacity float64) float64 {
+		n, credit := 0, 0.0
+		start := now
+		for now.Before(start.Add(20 * time.Second)) {
+			now = now.Add(5 * time.Millisecond)
+			credit = min(credit+capacity*0.005, 3)
+			if !l.Admit(now, 5) {
+				continue
+			}
+			n++
+			if credit--; credit < 0 {
+				l.Overloaded(now)
+			} else {
+				l.Answered(now)
+			}
+		}
+		return float64(n) / 20
+	}
+	admitted(20)
+	require.InDelta(t, 20, admitted(20), 5)
+	admitted(80)
+	require.InDelta(t, 80, admitted(80), 20)
+}
+
+func TestLowPrioritiesAreRefusedFirst(t *testing.T) {
+	var l cowsliproute.Limiter
+	n := map[int]int{}
+	for _, p := range []int{0, 9} {
+		for l = (cowsliproute.Limiter{}); l.Admit(t0, p); {
+			n[p]++
+		}
+	}
+	require.Greater(t, n[9], n[0])
+	require.NotZero(t, n[0])
+}
+
+func TestVersions(t *testing.T) {
+	c, err := cowslipconfig.Parse([]byte("[[failureDomains]]\nname='a'\n[[services]]\nname='s'\nkind='narrow'\nversion='v1'\n"))
+	require.NoError(t, err)
+	s, _ := c.Service("s")
+	busy := &atomic.Bool{}
+	for _, x := range []struct {
+		name             string
+		move             *cowsliproute.MoveView
+		draw             float64
+		prefer, fallback string
+	}{
+		{"no move", nil, 0, "v1", ""},
+		{"canary of another instance", &cowsliproute.MoveView{From: "v1", To: "v2", Busy: busy}, 0, "v1", ""},
+		{"canary", &cowsliproute.MoveView{From: "v1", To: "v2", Canary: true, Busy: busy}, 0.9, "v2", "v1"},
+		{"in the share", &cowsliproute.MoveView{From: "v1", To: "v2", Share: map[string]float64{"r": 0.5}, Busy: busy}, 0.4, "v2", "v1"},
+		{"beyond the share", &cowsliproute.MoveView{From: "v1", To: "v2", Share: map[string]float64{"r": 0.5}, Busy: busy}, 0.6, "v1", ""},
+		{"stopped", &cowsliproute.MoveView{From: "v1", To: "v2", Share: map[string]float64{"r": 1}, Stopped: true, Busy: busy}, 0, "v1", ""},
+		{"done", &cowsliproute.MoveView{From: "v1", To: "v2", Done: true, Busy: busy}, 0.9, "v2", ""},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			v := cowsliproute.NewService(cowsliproute.ServiceOptions{Config: s, Move: x.move})
+			p, f, release := v.Versions("r", x.draw)
+			require.Equal(t, x.prefer, p)
+			require.Equal(t, x.fallback, f)
+			if x.name == "canary" {
+				p, _, _ = v.Versions("r", x.draw)
+				require.Equal(t, "v1", p, "one at a time")
+			}
+			release()
+		})
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{2, 9, 100, 1000, 10000, 59000} {
+		b.Run(fmt.Sprint(n, " replicas"), func(b *testing.B) {
+			v := cowsliproute.NewView(cowsliproute.ViewOptions{})
+			r := rand.New(rand.NewPCG(1, 2))
+			l := replicas(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				v.Pick(l, cowsliproute.PickOptions{Version: "v1"}, r).Release()
+			}
+		})
+	}
+}
