--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -30,6 +30,7 @@
 	Incarnation   string // of this process; ID if empty
 	NoRamp        bool   // a baseline for measurements: cold targets are treated as warm
 	NoPool        bool   // a baseline for measurements: evidence of peers is ignored
+	RoundRobin    bool   // a baseline for measurements: replicas are chosen without regard to load
 	NoAdmission   bool   // a baseline for measurements: no query is refused for load
 
 	// Event receives what belongs on the time line; ignored if nil.
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -129,7 +129,7 @@
 	e.client = cowsliptarget.NewClient(cowsliptarget.Options{OnDisconnect: e.disconnected, Dial: o.Dial})
 	e.control = cowslipcontrol.New(cowslipcontrol.Options{
 		ID: o.ID, FailureDomain: o.FailureDomain, Addr: o.Advertise, Incarnation: newID(),
-		NoRamp: o.Baseline.NoRamp, NoPool: o.Baseline.NoPool, NoAdmission: o.Baseline.NoAdmission, Event: e.event,
+		NoRamp: o.Baseline.NoRamp, NoPool: o.Baseline.NoPool, NoAdmission: o.Baseline.NoAdmission, RoundRobin: o.Baseline.RoundRobin, Event: e.event,
 	}, e.clock.Now())
 	e.recorder = &cowsliprecord.Recorder{Entry: o.ID, Store: o.Store, Clock: e.clock, Later: e.runLater}
 	return e, nil
--- a/cowsliproute/view.go
+++ b/cowsliproute/view.go
@@ -16,6 +16,8 @@
 	byAddr    map[string]*Target
 	crashers  map[uint64]Verdict
 	config    *cowslipconfig.Config
+
+	roundRobin bool
 }
 
 // ViewOptions are the content of a View.
@@ -27,11 +29,12 @@
 	ByAddr        map[string]*Target
 	Crashers      map[uint64]Verdict
 	Config        *cowslipconfig.Config
+	RoundRobin    bool // a baseline for measurements: choose without regard to load
 }
 
 // NewView makes a view. It keeps the maps, which must not change any more.
 func NewView(o ViewOptions) *View {
-	return &View{revision: o.Revision, domain: o.FailureDomain, freshness: o.Freshness, services: o.Services, byAddr: o.ByAddr, crashers: o.Crashers, config: o.Config}
+	return &View{revision: o.Revision, domain: o.FailureDomain, freshness: o.Freshness, services: o.Services, byAddr: o.ByAddr, crashers: o.Crashers, config: o.Config, roundRobin: o.RoundRobin}
 }
 
 // Revision is the configuration in force.
@@ -90,7 +93,7 @@
 		b = t
 		break
 	}
-	if b != nil && b.better(a) {
+	if b != nil && !v.roundRobin && b.better(a) {
 		a, b = b, a
 	}
 	if a != nil && a.Acquire() {
--- a/cowsliproute/view_test.go
+++ b/cowsliproute/view_test.go
@@ -82,7 +82,8 @@
 	}
 	require.Equal(t, 5, n, "5% of 100 requests")
 	b.Earn(1000)
-	for n = 0; b.Spend(); n++ {
+	for n = 0; b.Spend(); {
+		n++
 	}
 	require.LessOrEqual(t, n, 10, "what was saved up is bounded")
 }
--- a/entrycommand.go
+++ b/entrycommand.go
@@ -25,6 +25,11 @@
 	CallersCert   string        `long:"callers-cert" env:"COWSLIPFLOW_CALLERS_CERT" description:"file of the TLS certificate for callers"`
 	CallersKey    string        `long:"callers-key" env:"COWSLIPFLOW_CALLERS_KEY" description:"file of its key"`
 	OperatorsCert string        `long:"operators-cert" env:"COWSLIPFLOW_OPERATORS_CERT" description:"file of the TLS certificate for operators"`
+	NoHedge       bool          `long:"baseline-no-hedge" description:"for measurements: do not hedge"`
+	RoundRobin    bool          `long:"baseline-round-robin" description:"for measurements: choose replicas without regard to load"`
+	NoRamp        bool          `long:"baseline-no-ramp" description:"for measurements: treat cold targets as warm"`
+	NoPool        bool          `long:"baseline-no-pool" description:"for measurements: ignore the evidence of peers"`
+	NoAdmission   bool          `long:"baseline-no-admission" description:"for measurements: refuse no query for load"`
 	OperatorsKey  string        `long:"operators-key" env:"COWSLIPFLOW_OPERATORS_KEY" description:"file of its key"`
 }
 
@@ -45,6 +50,7 @@
 
 func (c *entryCommand) options() (cowslipentry.Options, error) {
 	o := cowslipentry.Options{ID: c.ID, FailureDomain: c.FailureDomain, Advertise: c.Advertise, Seeds: c.Seeds, DrainWait: c.DrainWait, ClaimRate: c.ClaimRate, Token: c.Token, Log: newLog()}
+	o.Baseline = cowslipentry.Baseline{NoHedge: c.NoHedge, RoundRobin: c.RoundRobin, NoRamp: c.NoRamp, NoPool: c.NoPool, NoAdmission: c.NoAdmission}
 	if c.DrainWait < 0 {
 		return o, exit(exitUsage, "--drain-wait: %v is negative", c.DrainWait)
 	}
