Let requests given up say nothing of their target; derive the hedge sooner and later in the tail

Found by printing the slow queries of an in-process run: (1) hedges that lost while their connection opened ended as "not sent" and ejected healthy targets; (2) the losers of hedges taught nothing of the straggler, which went on being chosen; (3) a hedge that found the other replica busy was given up; (4) hedging at the 90th percentile spent the whole budget of 5% without any fault; (5) the first delay came only after a 5 s window. Changes: as above, hedge at the 98th percentile, a request given up after d counts as 2d, reported load ages.

--- a/cowslipcontrol/hold_test.go
+++ b/cowslipcontrol/hold_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"cowslipflow/cowslipcontrol"
 	"cowslipflow/cowsliptarget"
 
 	"github.com/stretchr/testify/require"
@@ -44,3 +45,20 @@
 	b.tick()
 	require.False(t, h.Acquire())
 }
+
+// Requests that were given up before a byte left, such as hedges that lost
+// while their connection opened, eject no target; refused connections do.
+func TestGivenUpRequestsEjectNothing(t *testing.T) {
+	b := warmBench(t)
+	h := b.target("d0")
+	observe := func(givenUp bool) {
+		for range 3 {
+			b.c.Observe(cowslipcontrol.Sample{Target: h, Outcome: cowsliptarget.NotSent, GivenUp: givenUp, At: b.now})
+		}
+		b.tick()
+	}
+	observe(true)
+	require.NotContains(t, b.events, "targetEjected d0")
+	observe(false)
+	require.Contains(t, b.events, "targetEjected d0")
+}
--- a/cowslipcontrol/sample.go
+++ b/cowslipcontrol/sample.go
@@ -14,6 +14,7 @@
 	Route    string
 	Outcome  cowsliptarget.Outcome
 	Crashed  bool // the target went down with the request
+	GivenUp  bool // the caller of the request ended it before a byte left; says nothing of the target
 	TimedOut bool // cancelled since the deadline was over, not since it was not needed any more
 	Latency  time.Duration
 	Report   cowsliptarget.Report
@@ -30,6 +31,7 @@
 	coldLatency    = 20 * time.Millisecond
 	overloadQueue  = 1 // queued requests per slot from which a target counts as overloaded
 	reportInterval = time.Second
+	loadAge        = 25 * time.Millisecond // from which reported load is halved each tick
 )
 
 // Observe handles the end of a request.
@@ -42,6 +44,9 @@
 		c.report(s.At, t, s.Report)
 	}
 	c.observeService(s)
+	if s.GivenUp {
+		return
+	}
 	c.observeMove(s)
 	if s.Crashed {
 		return
@@ -94,10 +99,14 @@
 	c.limitsDirty = true
 }
 
-// runHealth lets an ejected target be tried again once its time is over.
+// runHealth lets an ejected target be tried again once its time is over, and
+// forgets reported load as it ages.
 func (c *Control) runHealth(now time.Time) {
 	for i := range c.targets {
 		t := &c.targets[i]
+		if l := t.handle.Load(); l > 0 && now.Sub(t.reported) > loadAge {
+			t.handle.SetLoad(l / 2)
+		}
 		if t.ejected && !t.ejectedTill.IsZero() && !now.Before(t.ejectedTill) {
 			t.ejectedTill = time.Time{}
 			t.failures = ejectAfter - 1
--- a/cowslipcontrol/service.go
+++ b/cowslipcontrol/service.go
@@ -16,7 +16,8 @@
 // Constants of the latency windows behind hedging and of the retry budget.
 const (
 	latencyWindow   = 5 * time.Second
-	hedgeQuantile   = 90
+	latencyStep     = 500 * time.Millisecond
+	hedgeQuantile   = 98
 	hedgeSamples    = 100
 	minHedgeAfter   = time.Millisecond
 	hedgeFirstShare = 4 // without samples: a quarter of the deadline
@@ -34,7 +35,8 @@
 	snapshots []cowsliproute.Snapshot
 	latency   *latencies
 	hedge     time.Duration
-	rotated   time.Time
+	derived   time.Time // when hedge was last derived
+	rotated   time.Time // when the windows last turned
 	reprobed  time.Time
 }
 
@@ -131,15 +133,18 @@
 // runLatency turns the windows and derives when to hedge.
 func (c *Control) runLatency(now time.Time) {
 	for n, s := range c.services {
-		if now.Sub(s.rotated) < latencyWindow {
+		if now.Sub(s.derived) < latencyStep {
 			continue
 		}
-		s.rotated = now
+		s.derived = now
 		h := firstHedge(s.config)
 		if q := s.latency.quantile(hedgeQuantile); q > 0 {
 			h = min(max(q, minHedgeAfter), h)
 		}
-		s.latency.rotate()
+		if now.Sub(s.rotated) >= latencyWindow {
+			s.rotated = now
+			s.latency.rotate()
+		}
 		if h != s.hedge {
 			s.hedge = h
 			c.markService(n)
--- a/cowslipentry/search.go
+++ b/cowslipentry/search.go
@@ -254,9 +254,13 @@
 	if s.Report.Leaving {
 		t.SetLeaving(true)
 	}
+	s.GivenUp = s.Outcome == cowsliptarget.NotSent && ctx.Err() != nil
 	s.TimedOut = s.Outcome == cowsliptarget.Cancelled && ctx.Err() == context.DeadlineExceeded
-	if s.Outcome == cowsliptarget.OK {
+	switch s.Outcome {
+	case cowsliptarget.OK:
 		t.ObserveLatency(s.Latency)
+	case cowsliptarget.Cancelled:
+		t.ObserveAtLeast(s.Latency)
 	}
 	var k *cowslipcontrol.Crash
 	if s.Outcome == cowsliptarget.Lost {
--- a/cowslipquery/query.go
+++ b/cowslipquery/query.go
@@ -15,6 +15,7 @@
 const (
 	maxAttempts     = 4                    // per part, over all replicas
 	waitForRoom     = 2 * time.Millisecond // pause before asking for room again
+	hedgePause      = 4 * time.Millisecond // before a hedge without budget or room is tried again
 	marginShare     = 20                   // the merge closes 1/20 of the deadline early
 	restartShare    = 2                    // a restart needs half of the deadline still ahead
 	maxSnapshots    = 3                    // snapshots tried per query
@@ -78,11 +79,14 @@
 	attempts int
 	sentAt   time.Time
 	hedged   bool
-	waiting  bool
-	done     bool
-	missing  bool
-	wrong    bool
-	items    []cowsliptarget.Item
+
+	hedgeAgain time.Time // not before, since the budget or the replicas had no room
+
+	waiting bool
+	done    bool
+	missing bool
+	wrong   bool
+	items   []cowsliptarget.Item
 }
 
 func (p *part) settled() bool { return p.done || p.missing }
@@ -417,6 +421,9 @@
 	if h == 0 || q.o.NoHedge || q.crashed || q.o.Single && !q.proven || p.active == 0 || p.hedged || p.settled() {
 		return time.Time{}, false
 	}
+	if p.hedgeAgain.After(p.sentAt.Add(h)) {
+		return p.hedgeAgain, true
+	}
 	return p.sentAt.Add(h), true
 }
 
@@ -428,12 +435,12 @@
 			continue
 		}
 		if !q.o.Service.Budget().Spend() {
-			p.hedged = true
+			p.hedgeAgain = now.Add(hedgePause)
 			continue
 		}
 		q.send(now, i, true)
 		if !p.hedged {
-			p.hedged = true
+			p.hedgeAgain = now.Add(hedgePause)
 			q.o.Service.Budget().Refund()
 		}
 	}
--- a/cowslipquery/query_test.go
+++ b/cowslipquery/query_test.go
@@ -309,6 +309,28 @@
 	require.Empty(t, r.Coverage.Missing)
 }
 
+// A hedge that finds the other replica busy is tried again, not given up.
+func TestHedgeWaitsForAnIdleReplica(t *testing.T) {
+	s := snapshot(1, 8)
+	s.Parts[3].Replicas[1].SetLoad(2)
+	s.Parts[3].Replicas[0].SetLoad(1)
+	w := newWorld(t, nil, s)
+	w.reply = func(n int, a cowslipquery.Action) reply {
+		if a.Target == s.Parts[3].Replicas[0] {
+			return reply{after: time.Second}
+		}
+		if n == 7 {
+			s.Parts[3].Replicas[1].SetLoad(0)
+		}
+		return reply{after: 30 * ms}
+	}
+	busy := func(o *cowslipquery.Options) { o.Text = "x" }
+	q := w.query(busy)
+	r := w.run(q)
+	require.Empty(t, r.Coverage.Missing)
+	require.True(t, w.now.Before(t0.Add(deadline/2)))
+}
+
 func TestOwnFailureDomainOnlyWhileNotConfirmed(t *testing.T) {
 	w := newWorld(t, ok, snapshot(1, 8))
 	f := &cowsliproute.Freshness{}
--- a/cowsliproute/target.go
+++ b/cowsliproute/target.go
@@ -90,6 +90,15 @@
 	t.latency.Store(o + (int64(d)-o)/latencyWeight)
 }
 
+// ObserveAtLeast adds a request that was given up after d: its latency would
+// have been longer, by as much again for all that is known. It counts only if
+// that is news.
+func (t *Target) ObserveAtLeast(d time.Duration) {
+	if int64(d) > t.latency.Load() {
+		t.ObserveLatency(2 * d)
+	}
+}
+
 // Latency is the mean latency, 0 before the first sample.
 func (t *Target) Latency() time.Duration { return time.Duration(t.latency.Load()) }
 
--- a/cowsliproute/view_test.go
+++ b/cowsliproute/view_test.go
@@ -63,6 +63,23 @@
 	require.Same(t, l[0], v.Pick(l, cowsliproute.PickOptions{Except: l[1:]}, r))
 }
 
+// A straggler whose requests are all cancelled, since hedges win, is avoided.
+func TestCancelledRequestsTellOfAStraggler(t *testing.T) {
+	v := cowsliproute.NewView(cowsliproute.ViewOptions{})
+	r := rand.New(rand.NewPCG(1, 2))
+	l := replicas(2)
+	for _, x := range l {
+		x.ObserveLatency(8 * time.Millisecond)
+	}
+	l[0].ObserveAtLeast(20 * time.Millisecond)
+	l[1].ObserveAtLeast(time.Millisecond)
+	for range 20 {
+		x := v.Pick(l, cowsliproute.PickOptions{}, r)
+		require.Same(t, l[1], x)
+		x.Release()
+	}
+}
+
 func TestPickAllocatesNothing(t *testing.T) {
 	v := cowsliproute.NewView(cowsliproute.ViewOptions{})
 	r := rand.New(rand.NewPCG(1, 2))
--- a/examples/measure/main.go
+++ b/examples/measure/main.go
@@ -24,6 +24,7 @@
 	halfLoad  = 220 // queries a second, about half of what the targets bear
 	overload  = 900
 	warmUp    = 4 * time.Second
+	settled   = 3 * time.Second
 	runLength = 8 * time.Second
 )
 
@@ -36,6 +37,8 @@
 	rate  int
 	off   string // baseline flag of the entry instances
 	fault func(f *fleet)
+
+	settle time.Duration // between the fault and the measurement
 }
 
 func stragglers(f *fleet) {
@@ -45,14 +48,15 @@
 }
 
 var scenarios = []scenario{
-	{"no fault", halfLoad, "", nil},
-	{"3 stragglers", halfLoad, "", stragglers},
-	{"3 stragglers, no hedge", halfLoad, "--baseline-no-hedge", stragglers},
-	{"3 stragglers, round robin", halfLoad, "--baseline-round-robin", stragglers},
-	{"a replica lost", halfLoad, "", func(f *fleet) { f.kill(0) }},
-	{"domain out and back", halfLoad, "", func(f *fleet) { go f.outAndBack() }},
-	{"2x load", overload, "", nil},
-	{"2x load, no admission", overload, "--baseline-no-admission", nil},
+	{"no fault", halfLoad, "", nil, 0},
+	{"3 stragglers, from their start", halfLoad, "", stragglers, 0},
+	{"3 stragglers", halfLoad, "", stragglers, settled},
+	{"3 stragglers, no hedge", halfLoad, "--baseline-no-hedge", stragglers, settled},
+	{"3 stragglers, round robin", halfLoad, "--baseline-round-robin", stragglers, settled},
+	{"a replica lost", halfLoad, "", func(f *fleet) { f.kill(0) }, 0},
+	{"domain out and back", halfLoad, "", func(f *fleet) { go f.outAndBack() }, 0},
+	{"2x load", overload, "", nil, 0},
+	{"2x load, no admission", overload, "--baseline-no-admission", nil, 0},
 }
 
 func main() {
@@ -87,6 +91,9 @@
 	if s.fault != nil {
 		s.fault(f)
 	}
+	if s.settle > 0 {
+		f.send(s.rate, s.settle)
+	}
 	before := f.counters()
 	r := f.send(s.rate, runLength)
 	after := f.counters()
