--- a/cowslipentry/cluster_test.go
+++ b/cowslipentry/cluster_test.go
@@ -41,6 +41,22 @@
 
 var domains = []string{"cerro", "plan", "puerto"}
 
+// wideService starts a text with the failure domains and a wide service, whose
+// further values follow.
+const wideService = `
+[[failureDomains]]
+name = "cerro"
+[[failureDomains]]
+name = "plan"
+[[failureDomains]]
+name = "puerto"
+[[services]]
+name = "diaries"
+kind = "wide"
+version = "v1"
+shards = 8
+`
+
 // cluster is an installation inside the test's process, around a stand-in of
 // the platform.
 type cluster struct {
