Adapt to late answers, wait out cancellations at cold targets, end commands with the loop

(2) One request too many at a cold target after a domain's return; the likely cause is a cancelled request that the target still ran. Ruled out: treating every timeout as overload (one dead shard would close the service); late parts must be over a quarter of the query. Changes: as above; a cancelled request's room at a target that bears little comes back after 100 ms; do() ends with the loop.

--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -83,6 +83,7 @@
 	pool     *ants.Pool
 	recorder *cowsliprecord.Recorder
 	claims   *rate.Limiter
+	looped   chan struct{} // closed when the control loop has ended
 	push     chan struct{}
 	ready    atomic.Bool
 	draining atomic.Bool
@@ -121,6 +122,7 @@
 		events:   cowslipevent.New(cowslipevent.Options{Instance: o.ID, Clock: o.Clock, Capacity: o.EventsCapacity}),
 		commands: make(chan func(time.Time, *cowslipcontrol.Control), 64),
 		samples:  make(chan cowslipcontrol.Sample, sampleBuffer),
+		looped:   make(chan struct{}),
 		push:     make(chan struct{}, 1),
 		claims:   rate.NewLimiter(rate.Limit(o.ClaimRate), claimBurst),
 		metrics:  newMetrics(o.ID),
--- a/cowslipentry/loop.go
+++ b/cowslipentry/loop.go
@@ -11,6 +11,7 @@
 // controlLoop owns the control state: it runs commands between ticks, and each
 // tick takes in the samples of the traffic and publishes a view.
 func (e *Entry) controlLoop() {
+	defer close(e.looped)
 	t := e.clock.NewTicker(tickInterval)
 	defer t.Stop()
 	for {
@@ -59,13 +60,14 @@
 	}
 	select {
 	case e.commands <- g:
-	case <-e.life.Done():
+	case <-e.looped:
 		return false
 	}
 	select {
 	case <-done:
 		return true
-	case <-e.life.Done():
+	case <-e.looped:
+		// No command runs any more, so what f would write stays as it is.
 		return false
 	}
 }
--- a/cowslipentry/search.go
+++ b/cowslipentry/search.go
@@ -21,6 +21,13 @@
 // ended without an answer has started anew.
 const crashProbeTimeout = 100 * time.Millisecond
 
+// overloadPart is the part of a query's shards, 1/4, from which late answers
+// mean overload.
+const overloadPart = 4
+
+// cancelGrace is the time that a cancellation takes to reach a target.
+const cancelGrace = 100 * time.Millisecond
+
 // maxReruns is how often a query is run while the view is found stale.
 const maxReruns = 3
 
@@ -151,9 +158,7 @@
 		if !r.Stale {
 			e.metrics.needed.Add(int64(r.Needed))
 			e.metrics.sent.Add(int64(r.Sent))
-			if r.Shed == 0 {
-				s.Limiter().Answered(e.clock.Now())
-			}
+			e.adapt(s.Limiter(), r)
 			return r
 		}
 		sent = r.Sent
@@ -167,6 +172,18 @@
 	return cowslipquery.Result{}
 }
 
+// adapt tells the limiter how a query went. Answers that are late from a large
+// part of the shards mean overload as much as refusals do, of the targets or of
+// this process; from a small part they mean trouble with those shards.
+func (e *Entry) adapt(l *cowsliproute.Limiter, r cowslipquery.Result) {
+	switch {
+	case r.Late*overloadPart > r.Needed:
+		l.Overloaded(e.clock.Now())
+	case r.Shed == 0:
+		l.Answered(e.clock.Now())
+	}
+}
+
 func (r *run) drive(ctx context.Context) cowslipquery.Result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -270,7 +287,7 @@
 			k = nil
 		}
 	}
-	t.Release()
+	e.release(s)
 	if s.Crashed {
 		e.metrics.crashes.Add(1)
 	}
@@ -278,6 +295,17 @@
 	return k
 }
 
+// release gives room back; that of a request cancelled at a target that bears
+// little, only once the cancellation must have reached it.
+func (e *Entry) release(s *cowslipcontrol.Sample) {
+	t := s.Target
+	if s.Outcome == cowsliptarget.Cancelled && t.Limit() < t.Info().Slots {
+		time.AfterFunc(cancelGrace, t.Release)
+		return
+	}
+	t.Release()
+}
+
 // crashed tells whether a target whose connection ended is gone or has started
 // anew.
 func (e *Entry) crashed(t *cowsliproute.Target, before string) bool {
--- a/cowslipquery/dispatch.go
+++ b/cowslipquery/dispatch.go
@@ -213,6 +213,11 @@
 		return
 	}
 	q.closed = true
+	for i := range q.parts {
+		if !q.parts[i].settled() {
+			q.late++
+		}
+	}
 	q.cancelActive(func(attempt) bool { return true })
 }
 
--- a/cowslipquery/query.go
+++ b/cowslipquery/query.go
@@ -65,6 +65,7 @@
 	Needed       int                  `json:"needed"`
 	Sent         int                  `json:"sent"`
 	Shed         int                  `json:"shed"`
+	Late         int                  `json:"late"` // parts without an answer when the merge closed
 	Crashed      bool                 `json:"crashed"`
 	Proven       bool                 `json:"-"` // a target answered the request
 	Stale        bool                 `json:"-"` // given up early, since the view no longer fits what targets hold; to be run again with a newer one
@@ -111,6 +112,7 @@
 	sent     int
 	needed   int
 	shed     int
+	late     int
 	ownOnly  bool
 	crashed  bool
 	closed   bool
@@ -192,7 +194,7 @@
 
 // Result is the answer. It is final once Done.
 func (q *Query) Result() Result {
-	r := Result{Stale: q.stale, Proven: q.proven, OwnOnly: q.ownOnly, Needed: q.needed, Sent: q.sent, Shed: q.shed, Crashed: q.crashed, Items: []cowsliptarget.Item{}}
+	r := Result{Stale: q.stale, Proven: q.proven, OwnOnly: q.ownOnly, Needed: q.needed, Sent: q.sent, Shed: q.shed, Late: q.late, Crashed: q.crashed, Items: []cowsliptarget.Item{}}
 	if s := q.o.Service.Snapshots(); q.snapshot < len(s) {
 		r.IndexVersion = s[q.snapshot].IndexVersion
 	}
