Report a move's outcome by the writer of its record, however it learns of it

Cause: read as a newcomer: if the platform's answer to the record was lost and the record then came back by the list or a peer, no instance reported the end. Ruled out: reporting by each instance that learns of it (reported more than once). Figures: TestOutcomeIsReportedByItsWriter covers both; before, the writer's own record coming from a peer was reported 0 times. Two unused fields removed, one field renamed to what it holds. Conclusion: done and taken back are reported once, also after a lost answer.

--- a/cowslipcontrol/exchange.go
+++ b/cowslipcontrol/exchange.go
@@ -96,7 +96,7 @@
 	p.ackSeq = s.GetHaveSeq()
 	c.mergeEvidence(p, s.GetEvidence())
 	for _, o := range s.GetOutcomes() {
-		c.Outcome(o, false)
+		c.Outcome(o)
 	}
 	for _, x := range s.GetStops() {
 		c.mergeStop(x)
--- a/cowslipcontrol/move.go
+++ b/cowslipcontrol/move.go
@@ -213,12 +213,14 @@
 	}
 }
 
-// Outcome handles the recorded end of a move. Won says that this instance's
-// record was the first; only then is the end reported.
-func (c *Control) Outcome(o *cowslipmessage.Outcome, won bool) {
+// Outcome handles the recorded end of a move, from wherever it is learned. The
+// instance whose record it is reports it, also if the platform's answer to its
+// write was lost.
+func (c *Control) Outcome(o *cowslipmessage.Outcome) {
 	if c.outcomes[o.GetMove()] != nil {
 		return
 	}
+	won := o.GetBy() == c.o.ID
 	c.outcomes[o.GetMove()] = o
 	c.effects.Push = true
 	switch {
--- a/cowslipcontrol/move_test.go
+++ b/cowslipcontrol/move_test.go
@@ -187,11 +187,10 @@
 		return
 	}
 	for _, o := range b.effects.Outcomes {
-		won := m.stored[o.GetMove()] == nil
-		if won {
+		if m.stored[o.GetMove()] == nil {
 			m.stored[o.GetMove()] = o
 		}
-		b.c.Outcome(m.stored[o.GetMove()], won)
+		b.c.Outcome(m.stored[o.GetMove()])
 	}
 }
 
@@ -363,6 +362,28 @@
 	}
 }
 
+// The instance whose record stands reports it, though it learns of it from a
+// peer since the platform's answer was lost; no other does.
+func TestOutcomeIsReportedByItsWriter(t *testing.T) {
+	for _, c := range []struct {
+		by   string
+		want int
+	}{{"e1", 1}, {"e2", 0}} {
+		b := newBench(t, "e1", "cerro")
+		o := &cowslipmessage.Outcome{Move: "m", Done: true, By: c.by}
+		for range 2 {
+			b.peerAnswers("e2", "plan", 0, -1, func(s *cowslipmessage.State) { s.Outcomes = []*cowslipmessage.Outcome{o} })
+		}
+		n := 0
+		for _, e := range b.events {
+			if e == "moveDone m" {
+				n++
+			}
+		}
+		require.Equal(t, c.want, n)
+	}
+}
+
 // A crashing request alone takes no good version back.
 func TestCrashingRequestBlamesNoVersion(t *testing.T) {
 	m := newMoving(t, 5, 200)
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -89,7 +89,7 @@
 	draining atomic.Bool
 	requests sync.WaitGroup // requests of callers that run
 	later    sync.WaitGroup // tasks that outlive their request
-	probing  sync.Map       // targets being asked for a report
+	busy     sync.Map       // tasks of which one at a time may run: probes by target, others by name
 	metrics  *Metrics
 	life     context.Context
 	end      context.CancelFunc
--- a/cowslipentry/loop.go
+++ b/cowslipentry/loop.go
@@ -83,13 +83,13 @@
 // recordOutcomes writes the ends of moves, one task each at a time.
 func (e *Entry) recordOutcomes(l []*cowslipmessage.Outcome) {
 	for _, o := range l {
-		if _, busy := e.probing.LoadOrStore("outcome/"+o.GetMove(), true); busy {
+		if _, busy := e.busy.LoadOrStore("outcome/"+o.GetMove(), true); busy {
 			continue
 		}
 		e.runLater(func(ctx context.Context) {
 			e.recordOutcome(ctx, o)
 			e.sleep(ctx, outcomePause)
-			e.probing.Delete("outcome/" + o.GetMove())
+			e.busy.Delete("outcome/" + o.GetMove())
 		})
 	}
 }
--- a/cowslipentry/platform.go
+++ b/cowslipentry/platform.go
@@ -89,7 +89,7 @@
 		c.Listed(now, l)
 		c.Members(now, m)
 		for i := range o {
-			c.Outcome(&o[i], false)
+			c.Outcome(&o[i])
 		}
 	})
 }
@@ -157,10 +157,10 @@
 // repair writes the configuration in force back to a store that holds an older
 // one.
 func (e *Entry) repair(ctx context.Context, a cowslipcontrol.Accepted) {
-	if _, busy := e.probing.LoadOrStore("repair", true); busy {
+	if _, busy := e.busy.LoadOrStore("repair", true); busy {
 		return
 	}
-	defer e.probing.Delete("repair")
+	defer e.busy.Delete("repair")
 	t, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	v, err := e.o.Store.Get(t, cowslipcontrol.ConfigKey)
@@ -192,7 +192,7 @@
 	k := movesPrefix + o.GetMove()
 	_, err = e.o.Store.Put(t, cowslipplatform.Write{Key: k, Data: b})
 	if err == nil {
-		e.do(func(_ time.Time, c *cowslipcontrol.Control) { c.Outcome(o, true) })
+		e.do(func(_ time.Time, c *cowslipcontrol.Control) { c.Outcome(o) })
 		return
 	}
 	v, err := e.o.Store.Get(t, k)
@@ -203,7 +203,5 @@
 	if err := json.Unmarshal(v.Data, &r); err != nil {
 		return
 	}
-	// Own words in the record mean that an earlier answer was lost.
-	won := r.GetBy() == e.o.ID
-	e.do(func(_ time.Time, c *cowslipcontrol.Control) { c.Outcome(&r, won) })
+	e.do(func(_ time.Time, c *cowslipcontrol.Control) { c.Outcome(&r) })
 }
--- a/cowslipentry/probe.go
+++ b/cowslipentry/probe.go
@@ -27,11 +27,11 @@
 }
 
 func (e *Entry) startProbe(t *cowsliproute.Target) {
-	if _, busy := e.probing.LoadOrStore(t, true); busy {
+	if _, busy := e.busy.LoadOrStore(t, true); busy {
 		return
 	}
 	err := e.pool.Submit(func() {
-		defer e.probing.Delete(t)
+		defer e.busy.Delete(t)
 		ctx, cancel := context.WithTimeout(e.life, probeTimeout)
 		defer cancel()
 		e.metrics.probes.Add(1)
@@ -43,6 +43,6 @@
 		e.do(func(now time.Time, c *cowslipcontrol.Control) { c.Reported(now, t, r, h) })
 	})
 	if err != nil {
-		e.probing.Delete(t)
+		e.busy.Delete(t)
 	}
 }
--- a/cowslipquery/dispatch.go
+++ b/cowslipquery/dispatch.go
@@ -82,7 +82,7 @@
 	p.tried = append(p.tried, t)
 	q.sent++
 	id := len(q.attempts)
-	q.attempts = append(q.attempts, attempt{part: n, gen: q.gen, target: t, hedge: hedge, started: now})
+	q.attempts = append(q.attempts, attempt{part: n, gen: q.gen, target: t})
 	left := q.closeAt.Sub(now)
 	q.actions = append(q.actions, Action{Attempt: id, Target: t, Timeout: left, Search: cowsliptarget.Search{
 		ID: q.o.ID + "." + strconv.Itoa(id), Service: q.o.Service.Name(), Route: q.o.Route,
--- a/cowslipquery/query.go
+++ b/cowslipquery/query.go
@@ -92,12 +92,10 @@
 func (p *part) settled() bool { return p.done || p.missing }
 
 type attempt struct {
-	part    int
-	gen     int
-	target  *cowsliproute.Target
-	hedge   bool
-	ended   bool
-	started time.Time
+	part   int
+	gen    int // of the snapshot pinned when it was sent
+	target *cowsliproute.Target
+	ended  bool
 }
 
 // Query is one query's state. Make it with New; it is not safe for concurrent
