Let a stand-in target's reports lag

Cause: reading the stand-ins once more: the switch for old reports was declared and did nothing. Conclusion: no test relied on it before.

--- a/cowslipstandin/target.go
+++ b/cowslipstandin/target.go
@@ -97,6 +97,8 @@
 	listener    *listener
 	server      *server.Hertz
 	last        string
+	stale       cowsliptarget.Report // the load and state that reports give while they lag
+	noted       time.Time            // when stale was taken
 }
 
 // StartTarget starts a target on a loopback address, on a free port if the
@@ -220,6 +222,12 @@
 	if t.faults.HideReports {
 		r.Cold, r.Running, r.Queued = false, 0, 0
 	}
+	if lag := t.faults.StaleReports; lag > 0 {
+		if time.Since(t.noted) >= lag {
+			t.noted, t.stale = time.Now(), r
+		}
+		r.Cold, r.Running, r.Queued = t.stale.Cold, t.stale.Running, t.stale.Queued
+	}
 	if whole {
 		r.Holdings = append([]cowsliptarget.Holding{}, t.holdings...)
 	}
--- a/cowsliptarget/client_test.go
+++ b/cowsliptarget/client_test.go
@@ -215,3 +215,24 @@
 	require.Equal(t, "q.2", r.ID)
 	require.EqualValues(t, 2, k.Opened(), "the connection of q.1 was not used again")
 }
+
+// Reports of a stand-in can lag behind, or hide its state.
+func TestReportsLagOrMislead(t *testing.T) {
+	k := cowsliptarget.NewClient(cowsliptarget.Options{})
+	defer k.Close()
+	x, err := cowslipstandin.StartTarget("127.0.0.1:0", cowslipstandin.TargetOptions{ID: "t1", Service: "diaries", WarmTime: time.Hour})
+	require.NoError(t, err)
+	t.Cleanup(x.Kill)
+	cold := func() bool {
+		r, o := k.Status(t.Context(), x.Addr())
+		require.Equal(t, cowsliptarget.OK, o)
+		return r.Cold
+	}
+	require.True(t, cold())
+	x.SetFaults(cowslipstandin.TargetFaults{HideReports: true})
+	require.False(t, cold())
+	x.SetFaults(cowslipstandin.TargetFaults{HideReports: true, StaleReports: time.Hour})
+	require.False(t, cold())
+	x.SetFaults(cowslipstandin.TargetFaults{StaleReports: time.Hour})
+	require.False(t, cold(), "as it was reported before")
+}
