--- a/cowslipcontrol/evidence.go
+++ b/cowslipcontrol/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"time"
 
@@ -135,10 +136,7 @@
 
 // pooled adds up the evidence of all instances.
 func (c *Control) pooled(m *move) map[evidenceKey]counts {
-	p := make(map[evidenceKey]counts, len(m.own))
-	for k, x := range m.own {
-		p[k] = x
-	}
+	p := maps.Clone(m.own)
 	if c.o.NoPool {
 		return p
 	}
@@ -179,11 +177,7 @@
 			m.tallies[k] = m.tallies[k].plus(m.tallyOf(k, x.minus(m.latest()[k])))
 		}
 	}
-	t := make(map[evidenceKey]tally, len(m.tallies))
-	for k, x := range m.tallies {
-		t[k] = x
-	}
-	m.windows = append(m.windows, window{at: now, pooled: p, tallies: t})
+	m.windows = append(m.windows, window{at: now, pooled: p, tallies: maps.Clone(m.tallies)})
 	if len(m.windows) > windowCount {
 		m.windows = m.windows[1:]
 	}
@@ -224,7 +218,6 @@
 func (m *move) byRoute(version string) map[string]counts {
 	r := map[string]counts{}
 	for k, x := range m.latest() {
-		m.route(k.route)
 		if k.version == version {
 			r[k.route] = r[k.route].plus(x)
 		}
