Refuse at a restarted target what was meant for its run before

A trace that names the sending instance in each request's ID showed the surplus request from an instance other than the one chosen for the cold target, 81 ms after the restart: it had no connection to the target when that went down (its last one was closed by a cancelled request), so nothing held the target, and it sent by the limit of the run before. Ruled out: two instances that both count themselves chosen, and a cancelled request that still runs.

Change: requests name the run of the target that they are meant for; another run refuses them as not run ("restarted") and names itself. A row that learns of a new run, from an answer or from a peer, is closed until the limits have run, and its handle knows the run in both cases (it did not for a peer's row).

Tests that failed first: TestNewRunIsClosedUntilTheLimitIsSet (both ways of learning), TestRestartedTargetRunsNothingMeantForTheRunBefore.

--- a/cowslipcontrol/hold_test.go
+++ b/cowslipcontrol/hold_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"cowslipflow/cowslipcontrol"
+	"cowslipflow/cowslipmessage"
+	"cowslipflow/cowsliproute"
 	"cowslipflow/cowsliptarget"
 
 	"github.com/stretchr/testify/require"
@@ -34,6 +36,33 @@
 	require.True(t, h.Acquire())
 }
 
+// Load: a target that starts anew while this instance has no connection to it, so
+// that nothing holds it. Whoever tells of the new run, nothing is sent by the limit of
+// the run before.
+func TestNewRunIsClosedUntilTheLimitIsSet(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		tell func(b *bench, h *cowsliproute.Target)
+	}{
+		{"an answer", func(b *bench, h *cowsliproute.Target) {
+			b.c.Observe(cowslipcontrol.Sample{Target: h, Outcome: cowsliptarget.Restarted, Report: cowsliptarget.Report{Incarnation: "run2"}, At: b.now})
+		}},
+		{"a peer", func(b *bench, _ *cowsliproute.Target) {
+			b.c.Message(b.now, time.Time{}, &cowslipmessage.State{Id: "e2", Addr: "e2:1", Targets: []*cowslipmessage.TargetRow{{Id: "d0", Incarnation: "run2"}}})
+		}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			b := warmBench(t)
+			h := b.target("d0")
+			x.tell(b, h)
+			require.False(t, h.Acquire(), "the limit of the run before still stands")
+			require.Equal(t, "run2", h.Incarnation())
+			b.tick()
+			require.LessOrEqual(t, h.Limit(), 1)
+		})
+	}
+}
+
 // A report asked for before the connection ended says nothing of the run
 // after.
 func TestReportFromBeforeTheHold(t *testing.T) {
--- a/cowslipcontrol/membership.go
+++ b/cowslipcontrol/membership.go
@@ -41,6 +41,14 @@
 	seq         uint64
 }
 
+// begin notes a new run of the target. Nothing is sent to it until the next run of
+// the limits, since what the run before bore says nothing of this one.
+func (t *target) begin(incarnation string, since time.Time, cold bool) {
+	t.incarnation, t.since, t.cold = incarnation, since, cold
+	t.handle.SetIncarnation(incarnation)
+	t.handle.SetLimit(0)
+}
+
 func (t *target) leaving() bool { return t.listLeaving || t.selfLeaving || t.removed }
 
 // peer is a row of the table of entry instances.
@@ -280,13 +288,13 @@
 	changed := false
 	switch {
 	case t.incarnation == "":
-		t.incarnation, t.since, t.cold = r.GetIncarnation(), since, r.GetCold()
+		t.begin(r.GetIncarnation(), since, r.GetCold())
 		changed = true
 	case t.incarnation != r.GetIncarnation():
 		if !since.After(t.since) {
 			return
 		}
-		t.incarnation, t.since, t.cold = r.GetIncarnation(), since, r.GetCold()
+		t.begin(r.GetIncarnation(), since, r.GetCold())
 		t.selfLeaving = false
 		c.forgiveRestarted(t)
 		changed = true
--- a/cowslipcontrol/sample.go
+++ b/cowslipcontrol/sample.go
@@ -160,10 +160,7 @@
 	}
 	if t.incarnation != r.Incarnation {
 		known := t.incarnation != ""
-		t.incarnation = r.Incarnation
-		t.handle.SetIncarnation(r.Incarnation)
-		t.since = now
-		t.cold = r.Cold
+		t.begin(r.Incarnation, now, r.Cold)
 		t.selfLeaving = r.Leaving
 		t.holdings = nil
 		c.forgiveRestarted(t)
--- a/cowslipentry/record.go
+++ b/cowslipentry/record.go
@@ -98,7 +98,7 @@
 		left = max(time.Until(d).Milliseconds(), 1)
 	}
 	start := e.clock.Now()
-	v, report, o := e.client.Record(ctx, t.Info().Addr, cowsliptarget.Record{ID: c.id + "." + strconv.Itoa(n), Service: s.Name(), Route: c.route, Body: c.text, DeadlineMillis: left})
+	v, report, o := e.client.Record(ctx, t.Info().Addr, cowsliptarget.Record{ID: c.id + "." + strconv.Itoa(n), Service: s.Name(), Route: c.route, Body: c.text, Incarnation: t.Incarnation(), DeadlineMillis: left})
 	x := cowslipcontrol.Sample{Target: t, Route: c.route, Outcome: o, Report: report, Latency: e.clock.Since(start), At: e.clock.Now()}
 	e.metrics.needed.Add(1)
 	e.metrics.sent.Add(1)
--- a/cowslipentry/search.go
+++ b/cowslipentry/search.go
@@ -238,6 +238,7 @@
 func (r *run) attempt(ctx context.Context, cancel context.CancelFunc, a cowslipquery.Action) {
 	defer cancel()
 	n := r.clock.Now()
+	a.Search.Incarnation = a.Target.Incarnation()
 	p, report, o := r.client.Search(ctx, a.Target.Info().Addr, a.Search)
 	s := cowslipcontrol.Sample{Target: a.Target, Route: r.call.route, Outcome: o, Report: report, Latency: r.clock.Since(n), At: r.clock.Now()}
 	if k := r.settle(ctx, &s, r.print(), r.call.id); k != nil {
--- a/cowslipquery/course.go
+++ b/cowslipquery/course.go
@@ -367,7 +367,7 @@
 	// owed an answer by the one that is.
 	free := c.o.Fallback != "" && a.target.Info().Version == c.o.Prefer
 	switch o {
-	case cowsliptarget.NotSent, cowsliptarget.Leaving, cowsliptarget.WrongVersion:
+	case cowsliptarget.NotSent, cowsliptarget.Leaving, cowsliptarget.WrongVersion, cowsliptarget.Restarted:
 		free = true
 	case cowsliptarget.Shed, cowsliptarget.Expired:
 		c.shed++
--- a/cowslipstandin/target.go
+++ b/cowslipstandin/target.go
@@ -212,11 +212,14 @@
 
 func (t *Target) coldNow() bool { return time.Since(t.started) < t.o.WarmTime }
 
+// run names the target's present run.
+func (t *Target) run() string { return fmt.Sprintf("%s-%d", t.o.ID, t.incarnation) }
+
 func (t *Target) report(whole bool) cowsliptarget.Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := cowsliptarget.Report{
-		Incarnation: fmt.Sprintf("%s-%d", t.o.ID, t.incarnation), Version: t.o.Version, Leaving: t.faults.Leaving,
+		Incarnation: t.run(), Version: t.o.Version, Leaving: t.faults.Leaving,
 		Cold: t.coldNow(), Running: t.running, Queued: t.queued, Slots: t.o.Slots,
 	}
 	if t.faults.HideReports {
@@ -243,12 +246,14 @@
 	faults TargetFaults
 }
 
-func (t *Target) admit(id, route, text string, record bool, holds func(cowsliptarget.Holding) bool) admission {
+func (t *Target) admit(id, route, text, expected string, record bool, holds func(cowsliptarget.Holding) bool) admission {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a := admission{faults: t.faults}
 	r := Run{ID: id, Route: route, At: time.Now(), Record: record, Text: text, Cold: t.coldNow(), Leaving: t.faults.Leaving || t.faults.SilentLeave, Running: t.running + t.queued + 1}
 	switch {
+	case expected != "" && expected != t.run():
+		a.code = cowsliptarget.CodeRestarted
 	case t.faults.Leaving:
 		a.code = cowsliptarget.CodeLeaving
 	case holds != nil && !t.holds(holds):
--- a/cowslipstandin/targetserver.go
+++ b/cowslipstandin/targetserver.go
@@ -19,7 +19,7 @@
 	if !decode(c, &s) {
 		return
 	}
-	a := t.admit(s.ID, s.Route, s.Query, false, func(h cowsliptarget.Holding) bool {
+	a := t.admit(s.ID, s.Route, s.Query, s.Incarnation, false, func(h cowsliptarget.Holding) bool {
 		return h.IndexVersion == s.IndexVersion && h.Lo == s.Lo && h.Hi == s.Hi
 	})
 	if !t.proceed(ctx, c, a, s.ID, s.DeadlineMillis, incarnation) {
@@ -42,7 +42,7 @@
 	if !decode(c, &q) {
 		return
 	}
-	a := t.admit(q.ID, q.Route, q.Body, true, nil)
+	a := t.admit(q.ID, q.Route, q.Body, q.Incarnation, true, nil)
 	if !t.proceed(ctx, c, a, q.ID, q.DeadlineMillis, incarnation) {
 		return
 	}
--- a/cowsliptarget/client.go
+++ b/cowsliptarget/client.go
@@ -207,6 +207,8 @@
 		return WrongVersion
 	case CodeExpired:
 		return Expired
+	case CodeRestarted:
+		return Restarted
 	}
 	return Failed
 }
--- a/cowsliptarget/client_test.go
+++ b/cowsliptarget/client_test.go
@@ -178,6 +178,34 @@
 	}
 }
 
+// Load: callers that have not learned that a target started anew. The cold run
+// refuses what was meant for the run before, and names itself.
+func TestRestartedTargetRunsNothingMeantForTheRunBefore(t *testing.T) {
+	x := standin(t, cowslipstandin.TargetFaults{})
+	k := cowsliptarget.NewClient(cowsliptarget.Options{})
+	defer k.Close()
+	before, o := k.Status(t.Context(), x.Addr())
+	require.Equal(t, cowsliptarget.OK, o)
+	require.NoError(t, x.Restart(0))
+	q := search("q.1", 3)
+	q.Incarnation = before.Incarnation
+	_, r, o := k.Search(t.Context(), x.Addr(), q)
+	require.Equal(t, cowsliptarget.Restarted, o)
+	require.NotEqual(t, before.Incarnation, r.Incarnation)
+	_, _, o = k.Record(t.Context(), x.Addr(), cowsliptarget.Record{ID: "r.1", Incarnation: before.Incarnation})
+	require.Equal(t, cowsliptarget.Restarted, o)
+	q.Incarnation = r.Incarnation
+	_, _, o = k.Search(t.Context(), x.Addr(), q)
+	require.Equal(t, cowsliptarget.OK, o)
+	ran := 0
+	for _, y := range x.Record().Runs {
+		if y.Ran {
+			ran++
+		}
+	}
+	require.Equal(t, 1, ran)
+}
+
 func TestWrongVersionNamesWhatIsHeld(t *testing.T) {
 	x := standin(t, cowslipstandin.TargetFaults{})
 	k := cowsliptarget.NewClient(cowsliptarget.Options{})
--- a/cowsliptarget/message.go
+++ b/cowsliptarget/message.go
@@ -39,6 +39,7 @@
 	Lo             uint32 `json:"lo"`
 	Hi             uint32 `json:"hi"`
 	Query          string `json:"query"`
+	Incarnation    string `json:"incarnation,omitempty"` // the only run of the target that may serve it, any if empty
 	DeadlineMillis int64  `json:"deadlineMillis"`
 }
 
@@ -66,6 +67,7 @@
 	Service        string `json:"service"`
 	Route          string `json:"route"`
 	Body           string `json:"body"`
+	Incarnation    string `json:"incarnation,omitempty"` // the only run of the target that may serve it, any if empty
 	DeadlineMillis int64  `json:"deadlineMillis"`
 }
 
@@ -91,6 +93,7 @@
 	CodeLeaving      = "leaving"
 	CodeWrongVersion = "wrongVersion"
 	CodeExpired      = "expired"
+	CodeRestarted    = "restarted"
 )
 
 // Checksum is the xxhash of an answer's content.
