Save up fewer queries at low rates; ask again replicas that shed a part

SIGSTOP of the test's process for 0.3, 0.7 and 1.2 s made it red in 3 of 3 runs: 2, 11 and 9 partial answers after the first 6 s. They were not late but shed by both replicas: each of four instances had saved up four queries while all stood still, 16 at once where 12 fit into slots and queues. Real pauses of callers do the same.

Change: an instance saves up what 200 ms admit, two at least. And a part that all its replicas shed is asked once more after a quarter of the time left, within the retry budget, in place of being left out at once; for parts of wide queries only, a request to one target is still refused at once.

Tests: TestNoBurstAfterAPause, three cases of TestCourse.

--- a/cowslipentry/forward.go
+++ b/cowslipentry/forward.go
@@ -142,7 +142,7 @@
 	}
 	f.names = c.Gather()
 	f.enoughAt = f.start.Add(c.Latency() - f.margin())
-	o.KeepLosers = true
+	o.KeepLosers, o.AskAgain = true, true
 	o.MaxHedges = max(len(f.names)/hedgeShare, minHedges)
 	f.least = max(int(math.Ceil(c.Least()*float64(len(f.names))-shareSlack)), 1)
 	o.Least = f.least
--- a/cowslipquery/course.go
+++ b/cowslipquery/course.go
@@ -37,6 +37,7 @@
 	Proven     bool          // a target has answered the request before
 	Crashed    bool          // a target went down with the request before
 	MaxHedges  int           // parts that may be hedged, 0 for all: where many are late at once, more requests make them later
+	AskAgain   bool          // ask replicas that refused a part for load once more, after a pause
 	KeepLosers bool          // leave a request whose part has its answer to end by itself
 	Rand       *rand.Rand
 
@@ -62,6 +63,8 @@
 
 type part struct {
 	tried    []*cowsliproute.Target
+	shed     []*cowsliproute.Target // of those tried, that refused for load
+	again    time.Time              // not before, since all replicas refused for load
 	active   int
 	attempts int // that may have run
 	sends    int
@@ -180,7 +183,7 @@
 			continue
 		}
 		if p.waiting {
-			n = earlier(n, now.Add(waitForRoom))
+			n = earlier(n, later(now.Add(waitForRoom), p.again))
 		}
 		// A hedge that fell due while an answer was taken in is due at once.
 		if t, ok := c.hedgeAt(p); ok {
@@ -232,7 +235,7 @@
 	open, done := 0, 0
 	for i := range c.parts {
 		p := &c.parts[i]
-		if p.waiting && !p.settled() && !(c.o.Single && !c.proven && (i > 0 || p.sends > 0)) {
+		if p.waiting && !p.settled() && !now.Before(p.again) && !(c.o.Single && !c.proven && (i > 0 || p.sends > 0)) {
 			c.send(now, i, false)
 		}
 		if !p.settled() {
@@ -311,7 +314,7 @@
 // yet may be asked, though it has no room now.
 func (c *Course) reachable(n int, own bool) bool {
 	p := &c.parts[n]
-	if p.attempts >= c.o.Attempts || p.sends >= max(maxAttempts, c.o.Attempts) {
+	if p.attempts >= c.o.Attempts || p.sends >= c.maxSends() {
 		return false
 	}
 	return slices.ContainsFunc(c.versions(), func(v string) bool { return c.untried(n, v, own) })
@@ -345,11 +348,18 @@
 	if o.NotRun() {
 		p.attempts--
 	}
+	if o == cowsliptarget.Shed {
+		p.shed = append(p.shed, a.target)
+	}
 	if p.active > 0 {
 		return
 	}
 	p.wrong = p.wrong || o == cowsliptarget.WrongVersion
-	if c.crashed && !o.NotRun() || c.o.Once && !o.NotRun() || !c.reachable(a.part, c.o.View.Scope(now) == cowsliproute.ScopeOwn) {
+	if c.crashed && !o.NotRun() || c.o.Once && !o.NotRun() {
+		p.missing = true
+		return
+	}
+	if !c.reachable(a.part, c.o.View.Scope(now) == cowsliproute.ScopeOwn) && !c.askAgain(now, p) {
 		p.missing = true
 		return
 	}
@@ -399,6 +409,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/cowslipquery/course_test.go
+++ b/cowslipquery/course_test.go
@@ -93,6 +93,7 @@
 	}
 	good := reply{after: 5 * ms}
 	once := func(o *cowslipquery.CourseOptions) { o.Once = true }
+	again := func(o *cowslipquery.CourseOptions) { o.AskAgain, o.RoomBy = true, t0.Add(84*ms) }
 	plain := func(*cowslipquery.CourseOptions) {}
 	for _, c := range []struct {
 		name    string
@@ -110,6 +111,24 @@
 		{"one at most: never hedged", 1, 5, in(90*ms, cowsliptarget.OK), once, 0, 1, 90 * ms, false},
 		{"one at most: not run is sent again", 1, 5, first(reply{after: ms, outcome: cowsliptarget.Shed}, good), once, 0, 2, 6 * ms, false},
 		{"shed by all is not run", 1, 5, in(ms, cowsliptarget.Shed), once, 1, 2, 2 * ms, true},
+		{"shed by all for a moment is asked again", 2, 5, func(n int, o cowslipquery.Order) reply {
+			if o.Part == 0 && n < 3 {
+				return reply{after: ms, outcome: cowsliptarget.Shed}
+			}
+			return good
+		}, again, 0, 4, 27*ms + 500*time.Microsecond, false},
+		{"shed by all is asked again once", 2, 5, func(_ int, o cowslipquery.Order) reply {
+			if o.Part == 0 {
+				return reply{after: ms, outcome: cowsliptarget.Shed}
+			}
+			return good
+		}, again, 1, 5, 24*ms + 500*time.Microsecond, false},
+		{"shed by all is not asked again without budget", 2, 1, func(_ int, o cowslipquery.Order) reply {
+			if o.Part == 0 {
+				return reply{after: ms, outcome: cowsliptarget.Shed}
+			}
+			return good
+		}, again, 1, 3, 5 * ms, false},
 		{"no connection is free of budget", 1, 0, first(reply{after: ms, outcome: cowsliptarget.NotSent}, good), plain, 0, 2, 6 * ms, false},
 		{"a failure draws on the budget", 1, 0, first(reply{after: ms, outcome: cowsliptarget.Failed}, good), plain, 1, 1, ms, false},
 		{"a failure is tried at another replica", 1, 5, first(reply{after: ms, outcome: cowsliptarget.Failed}, good), plain, 0, 2, 6 * ms, false},
--- a/cowslipquery/query.go
+++ b/cowslipquery/query.go
@@ -148,7 +148,7 @@
 // pin starts the parts of a snapshot afresh; nothing of another one is kept.
 func (q *Query) pin(n int) {
 	o := CourseOptions{
-		View: q.o.View, CloseAt: q.closeAt, HedgeAfter: q.o.Service.HedgeAfter(), Prefer: q.o.Prefer, Fallback: q.o.Fallback, Single: q.o.Single, Rand: q.o.Rand,
+		View: q.o.View, CloseAt: q.closeAt, HedgeAfter: q.o.Service.HedgeAfter(), Prefer: q.o.Prefer, Fallback: q.o.Fallback, Single: q.o.Single, AskAgain: true, Rand: q.o.Rand,
 	}
 	if q.o.NoHedge {
 		o.HedgeAfter = 0
--- a/cowsliproute/limiter.go
+++ b/cowsliproute/limiter.go
@@ -14,7 +14,11 @@
 	rateIncrease   = 1.05
 	decreasePause  = 200 * time.Millisecond
 	increasePause  = 200 * time.Millisecond
-	admissionBurst = 4
+	admissionBurst = 4 // queries that may be saved up at most
+	// burstTime is the time over which queries are saved up, so that a pause of the
+	// callers or of the process is not followed by more at once than targets queue.
+	burstTime      = 200 * time.Millisecond
+	minBurst       = 2 // leaves a reserve for the higher priorities
 	priorityLevels = 10
 )
 
@@ -47,7 +51,7 @@
 		return true
 	}
 	l.refill(now)
-	reserve := float64(priorityLevels-1-priority) / priorityLevels * admissionBurst / 2
+	reserve := float64(priorityLevels-1-priority) / priorityLevels * l.burst() / 2
 	if l.tokens < 1+reserve {
 		l.refused = true
 		return false
@@ -88,6 +92,11 @@
 	return l.rate
 }
 
+// burst is how many queries may be saved up.
+func (l *Limiter) burst() float64 {
+	return min(max(l.rate*burstTime.Seconds(), minBurst), admissionBurst)
+}
+
 func (l *Limiter) refill(now time.Time) {
 	if l.rate == 0 {
 		l.rate = initialRate
@@ -95,7 +104,7 @@
 		l.at = now
 	}
 	if d := now.Sub(l.at); d > 0 {
-		l.tokens = min(l.tokens+l.rate*d.Seconds(), admissionBurst)
+		l.tokens = min(l.tokens+l.rate*d.Seconds(), l.burst())
 		l.at = now
 	}
 }
--- a/cowsliproute/view_test.go
+++ b/cowsliproute/view_test.go
@@ -105,6 +105,27 @@
 	require.LessOrEqual(t, n, 10, "what was saved up is bounded")
 }
 
+// Load: callers that press while targets are full, and a process that stands still
+// for a moment. What was not admitted meanwhile does not come all at once.
+func TestNoBurstAfterAPause(t *testing.T) {
+	for _, x := range []struct {
+		overloads, burst int
+	}{{0, 4}, {4, 4}, {8, 2}, {12, 2}} {
+		var l cowsliproute.Limiter
+		now := t0
+		for range x.overloads {
+			now = now.Add(200 * time.Millisecond)
+			l.Overloaded(now)
+		}
+		now = now.Add(10 * time.Second)
+		n := 0
+		for l.Admit(now, 9) {
+			n++
+		}
+		require.Equal(t, x.burst, n, "at %.1f queries a second", l.Rate())
+	}
+}
+
 func TestLimiterFollowsTheTargets(t *testing.T) {
 	var l cowsliproute.Limiter
 	now := t0
