--- a/cowslipquery/course.go
+++ b/cowslipquery/course.go
@@ -74,7 +74,6 @@
 	hedgeAgain time.Time // not before, since the budget or the replicas had no room
 
 	waiting bool
-	parked  bool // failed, and waits for the retry budget
 	done    bool
 	missing bool
 	wrong   bool
@@ -107,8 +106,6 @@
 	closed   bool
 	proven   bool
 	orders   []Order
-
-	parkUntil time.Time // when parked parts are given up
 }
 
 // NewCourse makes a course.
@@ -130,7 +127,6 @@
 		c.close()
 		return c.take()
 	}
-	c.parkUntil = now.Add(c.o.EnoughAt.Sub(now) / parkShare)
 	c.dispatch(now)
 	return c.take()
 }
@@ -186,9 +182,6 @@
 		if p.settled() {
 			continue
 		}
-		if p.parked {
-			n = earlier(n, earlier(now.Add(hedgePause), later(c.parkUntil, now)))
-		}
 		if p.waiting {
 			n = earlier(n, later(now.Add(waitForRoom), p.again))
 		}
@@ -239,7 +232,6 @@
 // dispatch sends what waits for room and closes the course once all parts are
 // settled, enough of them are in, or too many are missing.
 func (c *Course) dispatch(now time.Time) {
-	c.retryParked(now)
 	open, done := 0, 0
 	for i := range c.parts {
 		p := &c.parts[i]
@@ -342,6 +334,7 @@
 func (c *Course) handle(now time.Time, n int, o cowsliptarget.Outcome) {
 	a := c.attempts[n]
 	p := &c.parts[a.part]
+	s := c.o.Parts[a.part].Service
 	if o == cowsliptarget.OK {
 		p.done = true
 		p.waiting = false
@@ -370,8 +363,8 @@
 		p.missing = true
 		return
 	}
-	if !c.free(a, o) && !c.spend(now, a.part, c.needsRetry()) {
-		p.missing = !c.park(now, p)
+	if !c.free(a, o) && !s.Budget().Spend(now) {
+		p.missing = true
 		return
 	}
 	p.waiting = true
--- a/cowslipquery/hedge.go
+++ b/cowslipquery/hedge.go
@@ -20,7 +20,8 @@
 		if !ok || t.After(now) {
 			continue
 		}
-		if !c.spend(now, i, c.needsHedge()) {
+		b := c.o.Parts[i].Service.Budget()
+		if !b.Spend(now) {
 			c.denied.Budget++
 			p.hedgeAgain = now.Add(hedgePause)
 			continue
@@ -29,7 +30,7 @@
 		if !p.hedged {
 			c.denied.Room++
 			p.hedgeAgain = now.Add(hedgePause)
-			c.o.Parts[i].Service.Budget().Refund()
+			b.Refund()
 			continue
 		}
 		c.hedges++
--- a/cowsliproute/budget.go
+++ b/cowsliproute/budget.go
@@ -48,13 +48,7 @@
 
 // Spend takes the allowance for one retry or hedge at now and tells whether
 // there was enough.
-func (b *Budget) Spend(now time.Time) bool { return b.spend(now, 0) }
-
-// SpendSpare is Spend for what can be done without: it leaves half of what may be
-// saved up, beyond a single retry, in reserve.
-func (b *Budget) SpendSpare(now time.Time) bool { return b.spend(now, reserveShare) }
-
-func (b *Budget) spend(now time.Time, reserve float64) bool {
+func (b *Budget) Spend(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if d := now.Sub(b.at); d > 0 {
@@ -63,17 +57,13 @@
 		}
 		b.at = now
 	}
-	if b.tokens < 1+(b.limit()-1)*reserve-roundingSlack {
+	if b.tokens < 1-roundingSlack {
 		return false
 	}
 	b.tokens = math.Max(b.tokens-1, 0)
 	return true
 }
 
-// reserveShare is the part of the savings beyond a single retry that SpendSpare
-// leaves.
-const reserveShare = 0.75
-
 // roundingSlack is what the sum of many shares may lack of a whole retry.
 const roundingSlack = 1e-9
 
