Leave replicas that fail requests sooner: a failure costs 16 usual answers

Where only one of a shard's two replicas does, an instance still chose it in up to a third of the cases, as it was near and idle: a failed request counted as six usual answers, so that the mean of such a replica was about three times that of the good one, and a failure domain and one request in flight make up for that. What it shed spent the retry budget, and hedges were denied.

--- a/cowslipentry/forwardlearn.go
+++ b/cowslipentry/forwardlearn.go
@@ -9,15 +9,9 @@
 	"cowslipflow/cowsliptarget"
 )
 
-// Constants of what a target's answers are worth.
-const (
-	// nominalLatency is the mean latency of a target that answers as fast as
-	// its route's median.
-	nominalLatency = 10 * time.Millisecond
-	// failurePenalty is the latency, over the nominal one, that a failed request
-	// counts as.
-	failurePenalty = 6
-)
+// nominalLatency is the mean latency of a target that answers as fast as its
+// route's median.
+const nominalLatency = 10 * time.Millisecond
 
 // learn takes from the end of an attempt what it tells of the target, and gives
 // its room back.
@@ -41,7 +35,7 @@
 		t.ObserveAtLeast(f.normal(d))
 	default:
 		if !s.GivenUp {
-			t.ObserveLatency(failurePenalty * nominalLatency)
+			t.ObserveFailure(nominalLatency)
 		}
 	}
 	t.Release()
--- a/cowsliproute/target.go
+++ b/cowsliproute/target.go
@@ -8,6 +8,9 @@
 const (
 	// latencyWeight is the share of a new sample in a target's mean latency: 1/8.
 	latencyWeight = 8
+	// failureCost is the latency, in those of a usual answer, that a failed request
+	// counts as: it spends a retry of the budget that hedges draw on, too.
+	failureCost = 16
 	// stallFactor is the time without an end of a request, in mean latencies,
 	// from which a target counts as stalled.
 	stallFactor = 4
@@ -126,6 +129,10 @@
 	}
 }
 
+// ObserveFailure adds a request that the target failed; usual is the latency of a
+// good answer.
+func (t *Target) ObserveFailure(usual time.Duration) { t.ObserveLatency(failureCost * usual) }
+
 // ForgetLatency forgets all samples.
 func (t *Target) ForgetLatency() { t.latency.Store(0) }
 
