Notice that a cut has healed, and find a silent one before requests time out

Cause of the first: a failure domain that counts as cut off was used again only once one of its instances answered a call, or after 2 s if none was known. Where instances answer and targets do not, an answer counts only after 2 s, then 4 s, 6 s.

Cause of the second: a silent cut was noticed when requests on open connections timed out, 0.7 s to 1.5 s after it. Now four targets that hold requests for two latency targets of their routes, while none of that failure domain answers, are a cut; a process that stood still itself counts from then on only.

Tests that failed first: TestHealedCutEnds, TestSilentFailureDomainIsLeft (four targets), TestInstancesThatAnswerDoNotKeepDeadTargetsInUse.

--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -57,6 +57,7 @@
 	o         Options
 	started   time.Time
 	ticked    time.Time
+	resumed   time.Time // when the process last stood still
 	leaving   bool
 	accepted  Accepted
 	digest    uint64 // of the accepted text
@@ -76,7 +77,8 @@
 	routes   map[string]*route
 	reaches  map[string]*reach // by failure domain
 	relays   []*cowsliproute.Relay
-	gathered map[string]bool // services that routes gather from
+	gathered map[string]bool          // services that routes gather from
+	patience map[string]time.Duration // by service, the latency target of its slowest route
 	table    *cowsliproute.Table
 	moves    []move
 	crashes  []crash
@@ -133,6 +135,7 @@
 func (c *Control) Tick(now time.Time) (*cowsliproute.View, Effects) {
 	c.runFreshness(now)
 	c.runMembership(now)
+	c.runSilence(now)
 	c.runReach(now)
 	c.runHealth(now)
 	c.runLatency(now)
--- a/cowslipcontrol/domain.go
+++ b/cowslipcontrol/domain.go
@@ -12,9 +12,21 @@
 	// cutAfter is the number of different targets of a failure domain that
 	// requests in a row did not reach before the domain counts as cut off.
 	cutAfter = 4
-	// cutRetry is how long a failure domain counts as cut off without any sign
-	// of it; then its targets are tried again.
-	cutRetry = 2 * time.Second
+	// cutRetry is how long a failure domain counts as cut off without any sign of
+	// it; then its targets are tried again. Requests of callers pay for that, so
+	// that it takes longer where there are instances to ask.
+	cutRetry      = 2 * time.Second
+	cutRetryAsked = 6 * time.Second
+	// cutAgain is how soon after a failure domain was reached another cut tells that
+	// its instances answer though its targets do not.
+	cutAgain = 5 * time.Second
+	// silenceFactor is how many latency targets of its routes a target may hold
+	// requests without ending any, while none of its failure domain does, before it
+	// counts as not reached.
+	silenceFactor = 2
+	// silenceGap is the time between two ticks from which the process itself may be
+	// what stood still.
+	silenceGap = 150 * time.Millisecond
 )
 
 // reach is a row of the table of failure domains: whether their targets can be
@@ -22,6 +34,10 @@
 type reach struct {
 	missed map[*cowsliproute.Target]bool // not reached since any target there answered
 	cut    time.Time                     // since when it counts as cut off, zero if it does not
+
+	answered time.Time     // when a target there last answered
+	reached  time.Time     // when the last cut ended
+	patience time.Duration // after a cut until an answer of an instance there ends it
 }
 
 func (c *Control) reachOf(domain string) *reach {
@@ -43,22 +59,51 @@
 		return
 	case s.Outcome != cowsliptarget.NotSent && s.Outcome != cowsliptarget.Cancelled:
 		clear(r.missed)
-		c.reached(d, r, "a target answered")
+		r.answered = s.At
+		c.reached(s.At, d, r, "a target answered")
+		return
+	}
+	c.miss(s.At, r, s.Target, "requests in a row did not reach %d targets")
+}
+
+// miss notes that a target was not reached; enough of them are a cut.
+func (c *Control) miss(now time.Time, r *reach, t *cowsliproute.Target, how string) {
+	r.missed[t] = true
+	if len(r.missed) < cutAfter || !r.cut.IsZero() || !c.o.Listed {
 		return
 	}
-	r.missed[s.Target] = true
-	if len(r.missed) >= cutAfter && r.cut.IsZero() && c.o.Listed {
-		r.cut = s.At
-		c.limitsDirty = true
-		c.o.Event("failureDomainCutOff", d, fmt.Sprintf("requests in a row did not reach %d targets", len(r.missed)))
+	if now.Sub(r.reached) < cutAgain {
+		r.patience = min(max(2*r.patience, cutRetry), cutRetryAsked)
+	} else {
+		r.patience = 0
 	}
+	r.cut = now
+	c.limitsDirty = true
+	c.o.Event("failureDomainCutOff", t.Info().FailureDomain, fmt.Sprintf(how, len(r.missed)))
 }
 
-func (c *Control) reached(domain string, r *reach, how string) {
+// runSilence finds a cut before the requests behind it time out: several targets of
+// a failure domain hold requests, and none there answers.
+func (c *Control) runSilence(now time.Time) {
+	if now.Sub(c.ticked) > silenceGap {
+		c.resumed = now
+	}
+	for i := range c.targets {
+		h := c.targets[i].handle
+		r := c.reachOf(h.Info().FailureDomain)
+		s := silenceFactor * c.patience[h.Info().Service]
+		if s == 0 || h.Silence(now) < s || now.Sub(r.answered) < s || now.Sub(c.resumed) < s || r.missed[h] {
+			continue
+		}
+		c.miss(now, r, h, "%d targets hold requests, and none answers")
+	}
+}
+
+func (c *Control) reached(now time.Time, domain string, r *reach, how string) {
 	if r.cut.IsZero() {
 		return
 	}
-	r.cut = time.Time{}
+	r.cut, r.reached = time.Time{}, now
 	clear(r.missed)
 	c.limitsDirty = true
 	c.o.Event("failureDomainReached", domain, how)
@@ -71,26 +116,43 @@
 		if r.cut.IsZero() {
 			continue
 		}
-		if now.Sub(r.cut) >= cutRetry && !c.peersIn(d) {
-			c.reached(d, r, "tried again")
+		wait := cutRetry
+		if len(c.peersIn(d)) > 0 {
+			wait = cutRetryAsked
+		}
+		if now.Sub(r.cut) >= wait {
+			c.reached(now, d, r, "tried again")
 			continue
 		}
 		for i := range c.peers {
-			if p := &c.peers[i]; p.failureDomain == d && p.answered.After(r.cut) {
-				c.reached(d, r, "instance "+p.id+" answered")
+			if p := &c.peers[i]; p.failureDomain == d && p.answered.After(r.cut.Add(r.patience)) {
+				c.reached(now, d, r, "instance "+p.id+" answered")
 				break
 			}
 		}
 	}
 }
 
-func (c *Control) peersIn(domain string) bool {
+func (c *Control) peersIn(domain string) []Member {
+	var l []Member
 	for i := range c.peers {
-		if c.peers[i].failureDomain == domain && !c.peers[i].gone() {
-			return true
+		if p := &c.peers[i]; p.failureDomain == domain && !p.gone() {
+			l = append(l, p.member())
 		}
 	}
-	return false
+	return l
+}
+
+// CutOff lists the instances of each failure domain that counts as cut off. Any
+// answer of one ends that.
+func (c *Control) CutOff() map[string][]Member {
+	m := map[string][]Member{}
+	for d, r := range c.reaches {
+		if l := c.peersIn(d); !r.cut.IsZero() && len(l) > 0 {
+			m[d] = l
+		}
+	}
+	return m
 }
 
 // Isolated tells whether this instance should get no callers, since others can
--- a/cowslipcontrol/domain_test.go
+++ b/cowslipcontrol/domain_test.go
@@ -51,6 +51,7 @@
 prefix = "/search/"
 gather = ["s0", "s1", "s2", "s3", "s4", "s5"]
 minCoverage = 0.8
+latencyTarget = "150ms"
 `
 
 // newListed places the replicas of shard n in domains[n].
@@ -83,6 +84,14 @@
 	return x.View().Target(fmt.Sprintf("s%d-%s", n, domain))
 }
 
+// miss lets requests to replicas of shards reach nothing.
+func (x *listed) miss(domain string, shards ...int) {
+	for _, n := range shards {
+		x.observe(x.replica(n, domain), cowsliptarget.NotSent)
+	}
+	x.tick(50 * time.Millisecond)
+}
+
 func (x *listed) observe(t *cowsliproute.Target, o cowsliptarget.Outcome) {
 	x.Observe(cowslipcontrol.Sample{Target: t, Route: "search", Outcome: o, Latency: time.Millisecond, At: x.now})
 }
@@ -157,6 +166,78 @@
 	}
 }
 
+// Load: a cut that heals under traffic. No request is sent to targets behind it, so
+// that nothing tells of the end unless an instance there is asked; and what is not
+// answered by any instance is tried again all the same.
+func TestHealedCutEnds(t *testing.T) {
+	x := newListed(t, allOver...)
+	x.Members(x.now, []cowslipcontrol.Member{{ID: "e2", FailureDomain: "plan", Addr: "e2"}, {ID: "e3", FailureDomain: "puerto", Addr: "e3"}})
+	require.Empty(t, x.CutOff())
+	x.miss("plan", 0, 1, 3, 4)
+	require.Equal(t, map[string][]cowslipcontrol.Member{"plan": {{ID: "e2", FailureDomain: "plan", Addr: "e2"}}}, x.CutOff())
+	x.PeerAnswered(x.now, "e2")
+	x.tick(50 * time.Millisecond)
+	require.Empty(t, x.CutOff())
+	require.NotZero(t, x.replica(3, "plan").Limit())
+	x.tick(10 * time.Second)
+	x.miss("plan", 0, 1, 3, 4)
+	x.tick(5 * time.Second)
+	require.Zero(t, x.replica(3, "plan").Limit())
+	x.tick(time.Second)
+	require.NotZero(t, x.replica(3, "plan").Limit(), "tried again")
+}
+
+// Load: all targets of a failure domain are gone, though its instances answer. It is
+// not tried again with each of their answers.
+func TestInstancesThatAnswerDoNotKeepDeadTargetsInUse(t *testing.T) {
+	x := newListed(t, allOver...)
+	x.Members(x.now, []cowslipcontrol.Member{{ID: "e2", FailureDomain: "plan", Addr: "e2"}})
+	tries := 0
+	for range 40 {
+		if x.replica(3, "plan").Limit() > 0 {
+			tries++
+			x.miss("plan", 0, 1, 3, 4)
+		}
+		x.PeerAnswered(x.now, "e2")
+		x.tick(250 * time.Millisecond)
+	}
+	require.LessOrEqual(t, tries, 4, "in 10 s")
+}
+
+// Load: a failure domain is cut off silently while requests to it are under way on
+// connections that were open. It is left before they time out.
+func TestSilentFailureDomainIsLeft(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		busy   []int
+		change func(x *listed)
+		want   bool
+	}{
+		{"four targets are silent", []int{0, 1, 3, 4}, func(*listed) {}, true},
+		{"three targets are silent", []int{0, 1, 3}, func(*listed) {}, false},
+		{"another one answers", []int{0, 1, 3}, func(x *listed) { x.observe(x.replica(4, "plan"), cowsliptarget.OK) }, false},
+		{"the process stood still", []int{0, 1, 3, 4}, func(x *listed) { x.tick(time.Second) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newListed(t, allOver...)
+			for _, n := range c.busy {
+				h := x.replica(n, "plan")
+				require.True(t, h.Acquire())
+				h.Sent(x.now)
+			}
+			for range 4 {
+				x.tick(50 * time.Millisecond)
+			}
+			c.change(x)
+			require.NotZero(t, x.replica(0, "plan").Limit(), "two latency targets are not over")
+			for range 3 {
+				x.tick(50 * time.Millisecond)
+			}
+			require.Equal(t, c.want, x.replica(0, "plan").Limit() == 0)
+		})
+	}
+}
+
 // An instance whose own targets serve every route keeps its callers, whatever
 // it is cut off from.
 func TestCutOffButServing(t *testing.T) {
--- a/cowslipcontrol/membership.go
+++ b/cowslipcontrol/membership.go
@@ -75,6 +75,10 @@
 	return p.leaving || !p.refused.IsZero() && p.refused.After(p.heard)
 }
 
+func (p *peer) member() Member {
+	return Member{ID: p.id, FailureDomain: p.failureDomain, Addr: p.addr}
+}
+
 // Member is an entry instance to exchange with.
 type Member struct {
 	ID            string  `json:"id"`
@@ -271,7 +275,7 @@
 	m := make([]Member, 0, len(c.peers))
 	for i := range c.peers {
 		p := &c.peers[i]
-		m = append(m, Member{ID: p.id, FailureDomain: p.failureDomain, Addr: p.addr})
+		m = append(m, p.member())
 	}
 	return m
 }
--- a/cowslipcontrol/reader.go
+++ b/cowslipcontrol/reader.go
@@ -45,7 +45,7 @@
 	}
 	for i := range c.peers {
 		if p := &c.peers[i]; !p.gone() && p.id != readers[p.failureDomain].ID {
-			s.Rest = append(s.Rest, Member{ID: p.id, FailureDomain: p.failureDomain, Addr: p.addr})
+			s.Rest = append(s.Rest, p.member())
 		}
 	}
 	slices.SortFunc(s.Others, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
--- a/cowslipcontrol/route.go
+++ b/cowslipcontrol/route.go
@@ -33,7 +33,7 @@
 // applyRoutes brings the table of routes in line with the configuration.
 func (c *Control) applyRoutes() {
 	before := c.routes
-	c.gathered = map[string]bool{}
+	c.gathered, c.patience = map[string]bool{}, map[string]time.Duration{}
 	c.routes = map[string]*route{}
 	for _, x := range c.config.Routes() {
 		r := before[x.Name()]
@@ -43,6 +43,10 @@
 		r.config = x
 		for _, s := range x.Gather() {
 			c.gathered[s] = true
+			c.patience[s] = max(c.patience[s], x.Latency())
+		}
+		for _, s := range x.Split() {
+			c.patience[s.Service()] = max(c.patience[s.Service()], x.Latency())
 		}
 		c.routes[x.Name()] = r
 	}
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -230,7 +230,7 @@
 // operators' text.
 func (e *Entry) sourceLoops() []func() {
 	if e.o.Edge != nil {
-		return []func(){e.storeLoop, e.followOwn, e.followOthers, e.leaseLoop, e.sweepLoop}
+		return []func(){e.storeLoop, e.followOwn, e.followOthers, e.reachLoop, e.leaseLoop, e.sweepLoop}
 	}
 	return []func(){e.watchLoop, e.listLoop, e.leaseLoop, e.peerLoop, e.probeLoop}
 }
--- a/cowslipentry/follow.go
+++ b/cowslipentry/follow.go
@@ -133,8 +133,11 @@
 	}()
 	for n := 0; e.life.Err() == nil; n++ {
 		m := next(e.sources(), n)
+		if m.Addr != "" && clients[m.Addr] == nil {
+			clients[m.Addr] = &cowslippeer.Client{Addr: m.Addr, Dial: e.o.Dial}
+		}
 		switch {
-		case m.Addr == "" || !e.followPeer(clients, m, wait):
+		case m.Addr == "" || !e.followPeer(clients[m.Addr], m, wait):
 			e.sleep(e.life, storeRetry)
 		case wait == 0:
 			e.sleep(e.life, e.shareOfAge(followWaitShare))
@@ -200,12 +203,7 @@
 }
 
 // followPeer asks a peer for what its copy has beyond the own one.
-func (e *Entry) followPeer(clients map[string]*cowslippeer.Client, m cowslipcontrol.Member, wait time.Duration) bool {
-	k := clients[m.Addr]
-	if k == nil {
-		k = &cowslippeer.Client{Addr: m.Addr, Dial: e.o.Dial}
-		clients[m.Addr] = k
-	}
+func (e *Entry) followPeer(k *cowslippeer.Client, m cowslipcontrol.Member, wait time.Duration) bool {
 	ctx, cancel := context.WithTimeout(e.life, wait+followSlack)
 	defer cancel()
 	p, err := k.Follow(ctx, &cowslipmessage.FollowRequest{Revision: e.mirror.Revision(), WaitMillis: wait.Milliseconds()})
--- a/cowsliproute/target.go
+++ b/cowsliproute/target.go
@@ -164,11 +164,20 @@
 // Moved notes that the target ended a request at now, of whatever outcome.
 func (t *Target) Moved(now time.Time) { t.moving.Store(steady(now)) }
 
+// Silence is how long requests have been in flight without any ending, 0 if there
+// are none.
+func (t *Target) Silence(now time.Time) time.Duration {
+	if t.inFlight.Load() <= 0 {
+		return 0
+	}
+	return time.Duration(steady(now) - t.moving.Load())
+}
+
 // Stalled tells whether requests are in flight of which none has ended for
 // over stallFactor times the mean latency: the target pauses, or is gone.
 func (t *Target) Stalled(now time.Time) bool {
 	l := t.latency.Load()
-	return l > 0 && t.inFlight.Load() > 0 && steady(now)-t.moving.Load() > stallFactor*l
+	return l > 0 && int64(t.Silence(now)) > stallFactor*l
 }
 
 // room tells whether Acquire would succeed, without taking.
