Move services between versions on the platform's order

Change: orders become [[moves]] of the text, with a duration and the number of the order in place of an end, since clocks differ and the text must be the same on all instances; such a move comes from any other version. Forwarded requests take the versions of each part's service. Three instances judge, exchange evidence with all others while a move runs, and tell them how far it is; the outcome is written to the operators' status by compare-and-swap, the first one stands. Each instance keeps half of its part of the bounds on requests to an unproven version (exposeShare, exposeSlack of the settings).

Ruled out: ramping up to all traffic before the end, as moves on our own stand-ins do; a fault that comes late would then be past the bound. A single judge: lost with its machine.

--- a/cowslipconfig/check.go
+++ b/cowslipconfig/check.go
@@ -202,17 +202,24 @@
 			k.add(p+".service", fmt.Sprintf("%q moves twice", m.Service), "list one move per service")
 		case s.kind == Composite:
 			k.add(p+".service", "a composite service has no targets", "move the services that it depends on")
-		case s.version == "":
+		case s.version == "" && m.Within == 0:
 			k.add(p+".service", fmt.Sprintf("service %q names no version to move from", m.Service), "give the service a version")
 		}
 		seen[m.Service] = true
 		if m.To == "" || m.To == s.version {
 			k.add(p+".to", "no other version", "name the version to move to")
 		}
-		if m.By.IsZero() {
-			k.add(p+".by", "missing", "write a time such as 2027-01-31T18:00:00Z")
+		switch {
+		case m.By.IsZero() && m.Within == 0:
+			k.add(p+".by", "missing", "write a time such as 2027-01-31T18:00:00Z, or within and order")
+		case !m.By.IsZero() && m.Within != 0:
+			k.add(p+".within", "the move has an end already", "write either by or within")
+		case m.Within < 0:
+			k.add(p+".within", time.Duration(m.Within).String(), "write a duration above 0")
+		case m.Within > 0 && m.Order == 0:
+			k.add(p+".order", "missing", "number the order, so that a later one of the same version is told from it")
 		}
-		c.moves = append(c.moves, Move{service: m.Service, from: s.version, to: m.To, by: m.By})
+		c.moves = append(c.moves, Move{service: m.Service, from: s.version, to: m.To, by: m.By, within: time.Duration(m.Within), order: m.Order})
 	}
 }
 
@@ -228,7 +235,7 @@
 		}
 	}
 	for i, m := range after.moves {
-		if !old[m.ID()] && !m.by.After(now) {
+		if !old[m.ID()] && m.within == 0 && !m.by.After(now) {
 			k.add(fmt.Sprintf("moves[%d].by", i), m.by.UTC().Format(time.RFC3339)+" is in the past", "write a time after "+now.UTC().Format(time.RFC3339))
 		}
 	}
--- a/cowslipconfig/config.go
+++ b/cowslipconfig/config.go
@@ -1,6 +1,7 @@
 package cowslipconfig
 
 import (
+	"strconv"
 	"time"
 )
 
@@ -167,21 +168,54 @@
 	from    string
 	to      string
 	by      time.Time
+	within  time.Duration
+	order   uint64
 }
 
 // ID identifies the move over all revisions of the text.
 func (m Move) ID() string {
+	if m.order > 0 {
+		return MoveID(m.service, m.to, m.order)
+	}
 	return m.service + "/" + m.from + "/" + m.to + "/" + m.by.UTC().Format(time.RFC3339)
 }
 
+// MoveID is the ID of the move that an order asks for.
+func MoveID(service, to string, order uint64) string {
+	return service + "/" + to + "/" + strconv.FormatUint(order, 10)
+}
+
 // Service names the service that moves.
 func (m Move) Service() string { return m.service }
 
-// From is the version that serves before the move.
+// From is the version that serves before the move; empty means all but To.
 func (m Move) From() string { return m.from }
 
+// Side tells which of From and To targets of a version stand for.
+func (m Move) Side(version string) (side string, ok bool) {
+	switch {
+	case version == m.to:
+		return m.to, true
+	case m.from == "" || version == m.from:
+		return m.from, true
+	}
+	return "", false
+}
+
 // To is the version that serves after the move.
 func (m Move) To() string { return m.to }
 
-// By is the time by which the move must be done.
-func (m Move) By() time.Time { return m.by }
+// End is the time by which the move must be done if it began at start.
+func (m Move) End(start time.Time) time.Time {
+	if m.within > 0 {
+		return start.Add(m.within)
+	}
+	return m.by
+}
+
+// Within is the time that the move may take from when an instance learns of it, 0
+// if the text states its end.
+func (m Move) Within() time.Duration { return m.within }
+
+// Order numbers the operators' order, 0 if the text states none.
+func (m Move) Order() uint64 { return m.order }
--- a/cowslipconfig/draft.go
+++ b/cowslipconfig/draft.go
@@ -77,6 +77,8 @@
 	Service string    `toml:"service,omitempty"`
 	To      string    `toml:"to,omitempty"`
 	By      time.Time `toml:"by,omitempty"`
+	Within  Duration  `toml:"within,omitempty"`
+	Order   uint64    `toml:"order,omitempty"`
 }
 
 // Duration is a time.Duration that a text spells such as "400ms".
--- a/cowslipconfig/parse_test.go
+++ b/cowslipconfig/parse_test.go
@@ -91,6 +91,9 @@
 		{"service = \"positions\"", "service = \"bibs\"", 31, "moves[0].service", "names no version"},
 		{"to = \"v2\"", "to = \"v1\"", 32, "moves[0].to", "no other version"},
 		{"by = 2027-01-31T18:00:00Z", "", 30, "moves[0].by", "missing"},
+		{"by = 2027-01-31T18:00:00Z", "by = 2027-01-31T18:00:00Z\nwithin = \"12s\"\norder = 3", 34, "moves[0].within", "an end already"},
+		{"by = 2027-01-31T18:00:00Z", "within = \"12s\"", 30, "moves[0].order", "missing"},
+		{"by = 2027-01-31T18:00:00Z", "within = \"-12s\"\norder = 3", 33, "moves[0].within", "-12s"},
 		{"[[classes]]", "[[classes]", 9, "text", ""},
 	} {
 		t.Run(c.field+" "+c.with, func(t *testing.T) {
@@ -117,6 +120,23 @@
 	require.ErrorContains(t, err, "line 33: moves[0].by: 2027-01-31T18:00:00Z is in the past")
 }
 
+// A move that is ordered to take a time needs no version to come from: it begins
+// when an instance learns of it, and another order is another move.
+func TestMoveWithin(t *testing.T) {
+	c, err := cowslipconfig.Parse([]byte("[[failureDomains]]\nname='a'\n[[services]]\nname='s'\nkind='narrow'\n[[moves]]\nservice='s'\nto='v2'\nwithin='12s'\norder=7\n"))
+	require.NoError(t, err)
+	m := c.Moves()[0]
+	start := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	require.Equal(t, start.Add(12*time.Second), m.End(start))
+	require.Equal(t, cowslipconfig.MoveID("s", "v2", 7), m.ID())
+	require.NotEqual(t, cowslipconfig.MoveID("s", "v2", 8), m.ID())
+	for v, want := range map[string]string{"v1": "", "v0": "", "v2": "v2"} {
+		side, ok := m.Side(v)
+		require.True(t, ok)
+		require.Equal(t, want, side)
+	}
+}
+
 // FuzzParse checks that any text is either refused with a reason or accepted
 // with values in range.
 func FuzzParse(f *testing.F) {
--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -46,6 +46,11 @@
 	// requests; the default of cowsliproute.Budget if 0.
 	RetrySlack  int
 	RetryWindow time.Duration
+	// ExposeShare and ExposeSlack bound the requests that the new version of a move
+	// gets before its end: a share of the service's requests, and so many more over
+	// all instances. Both 0 set no bound.
+	ExposeShare float64
+	ExposeSlack int
 
 	// Event receives what belongs on the time line; ignored if nil.
 	Event func(kind, subject, detail string)
@@ -83,6 +88,7 @@
 	moves    []move
 	crashes  []crash
 	outcomes map[string]*cowslipmessage.Outcome
+	running  map[string]bool // moves whose start the platform has on record, by ID
 	stops    map[string]*cowslipmessage.Stop
 
 	retired map[evidenceKey]counts // of peers that are gone
@@ -105,6 +111,7 @@
 type Effects struct {
 	Repair   bool                      // write the configuration in force to the store, which holds an older one
 	Outcomes []*cowslipmessage.Outcome // record these ends of moves
+	Started  []cowslipconfig.Move      // record that these moves run
 	Push     bool                      // exchange with all peers at once
 }
 
@@ -121,7 +128,7 @@
 		freshness: &cowsliproute.Freshness{}, scope: cowsliproute.ScopeNone,
 		targetAt: map[string]int{}, byAddr: map[string]*cowsliproute.Target{}, services: map[string]*service{},
 		reaches:  map[string]*reach{},
-		outcomes: map[string]*cowslipmessage.Outcome{}, stops: map[string]*cowslipmessage.Stop{},
+		outcomes: map[string]*cowslipmessage.Outcome{}, running: map[string]bool{}, stops: map[string]*cowslipmessage.Stop{},
 		serviceDirty: map[string]bool{}, targetsDirty: map[string]bool{}, cleared: map[uint64]time.Time{}, retired: map[evidenceKey]counts{}, viewDirty: true, limitsDirty: true,
 	}
 	return c
--- a/cowslipcontrol/evidence.go
+++ b/cowslipcontrol/evidence.go
@@ -111,13 +111,14 @@
 	i := s.Target.Info()
 	for n := range c.moves {
 		m := &c.moves[n]
-		if m.config.Service() != i.Service || i.Version != m.config.To() && i.Version != m.config.From() {
+		side, ok := m.config.Side(i.Version)
+		if m.config.Service() != i.Service || !ok {
 			continue
 		}
 		if s.Crashed || s.Outcome.NotRun() && s.Outcome != cowsliptarget.NotSent || s.Outcome == cowsliptarget.Cancelled && !s.TimedOut {
 			return
 		}
-		k := evidenceKey{m.config.ID(), i.Version, s.Route, i.FailureDomain}
+		k := evidenceKey{m.config.ID(), side, s.Route, i.FailureDomain}
 		if _, ok := m.own[k]; !ok && len(m.own) >= 4*maxRoutes {
 			return
 		}
--- a/cowslipcontrol/exchange.go
+++ b/cowslipcontrol/exchange.go
@@ -13,12 +13,6 @@
 		Id: c.o.ID, FailureDomain: c.o.FailureDomain, Incarnation: c.o.Incarnation, Addr: c.o.Addr, Leaving: c.leaving,
 		Revision: c.accepted.Revision, ConfirmedAgeMillis: -1, Seq: c.seq, Crashes: c.crashMessages(now),
 	}
-	if !c.confirmed.IsZero() {
-		s.ConfirmedAgeMillis = now.Sub(c.confirmed).Milliseconds() + 1
-	}
-	for _, m := range c.Peers() {
-		s.Members = append(s.Members, &cowslipmessage.Member{Id: m.ID, FailureDomain: m.FailureDomain, Addr: m.Addr})
-	}
 	for i := range c.moves {
 		for k, x := range c.moves[i].own {
 			s.Evidence = append(s.Evidence, evidenceMessage(k, x))
@@ -30,6 +24,16 @@
 	for _, x := range c.outcomes {
 		s.Outcomes = append(s.Outcomes, x)
 	}
+	if !c.confirmed.IsZero() {
+		s.ConfirmedAgeMillis = now.Sub(c.confirmed).Milliseconds() + 1
+	}
+	if c.o.Listed {
+		s.Progress = c.progressMessages(now)
+		return s
+	}
+	for _, m := range c.Peers() {
+		s.Members = append(s.Members, &cowslipmessage.Member{Id: m.ID, FailureDomain: m.FailureDomain, Addr: m.Addr})
+	}
 	p := c.peer(id)
 	if p == nil {
 		return s
@@ -95,6 +99,7 @@
 	p.haveSeq = s.GetSeq()
 	p.ackSeq = s.GetHaveSeq()
 	c.mergeEvidence(p, s.GetEvidence())
+	c.mergeProgress(now, s.GetProgress())
 	for _, o := range s.GetOutcomes() {
 		c.Outcome(o)
 	}
--- a/cowslipcontrol/move.go
+++ b/cowslipcontrol/move.go
@@ -1,6 +1,7 @@
 package cowslipcontrol
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -31,6 +32,7 @@
 	baseline map[evidenceKey]baseline // of the old version
 	tallies  map[evidenceKey]tally    // of the new version
 	canary   bool
+	judge    bool   // this instance judges the evidence
 	reported string // the last state put on the time line
 }
 
@@ -54,18 +56,22 @@
 			return c.moves[i]
 		}
 	}
-	c.o.Event("moveStarted", m.ID(), "by "+m.By().UTC().Format(time.RFC3339))
-	return move{config: m, start: c.accepted.MoveStarts[m.ID()], own: map[evidenceKey]counts{}, baseline: map[evidenceKey]baseline{}, tallies: map[evidenceKey]tally{}, routes: map[string]*moveRoute{}}
+	start := c.accepted.MoveStarts[m.ID()]
+	if m.Within() > 0 {
+		start = c.ticked
+	}
+	c.o.Event("moveStarted", m.ID(), "by "+m.End(start).UTC().Format(time.RFC3339))
+	return move{config: m, start: start, own: map[evidenceKey]counts{}, baseline: map[evidenceKey]baseline{}, tallies: map[evidenceKey]tally{}, routes: map[string]*moveRoute{}}
 }
 
 // runMoves judges the evidence of each move and decides its share and outcome.
 func (c *Control) runMoves(now time.Time) {
 	for i := range c.moves {
 		m := &c.moves[i]
-		joined := now.Sub(c.started) >= JoinGrace
-		if canary := joined && c.chosen(m.config.ID(), c.senders().ids, 1); canary != m.canary {
-			m.canary = canary
-			c.markMove(m)
+		c.appoint(now, m)
+		if !m.judge {
+			c.followMove(m)
+			continue
 		}
 		fresh := c.gather(now, m)
 		if c.outcomes[m.config.ID()] != nil {
@@ -152,9 +158,11 @@
 	return 1
 }
 
+func (m *move) length() time.Duration { return m.config.End(m.start).Sub(m.start) }
+
 // progress runs from 0 at the move's start to 1 at its end.
 func (m *move) progress(now time.Time) float64 {
-	d := m.config.By().Sub(m.start)
+	d := m.length()
 	if d <= 0 {
 		return 1
 	}
@@ -168,7 +176,7 @@
 	if f < rampFrom {
 		plan = firstShare
 	}
-	d := m.config.By().Sub(m.start).Seconds() * doubleEvery
+	d := m.length().Seconds() * doubleEvery
 	grown := firstShare * math.Exp2(now.Sub(r.evidenceAt).Seconds()/max(d, 1e-3))
 	return min(plan, grown, 1)
 }
@@ -221,6 +229,9 @@
 		return
 	}
 	won := o.GetBy() == c.o.ID
+	if !won && c.o.Listed {
+		c.o.Event("moveEnded", o.GetMove(), fmt.Sprintf("done: %v", o.GetDone()))
+	}
 	c.outcomes[o.GetMove()] = o
 	c.effects.Push = true
 	switch {
@@ -246,9 +257,14 @@
 		v := &cowsliproute.MoveView{ID: m.config.ID(), From: m.config.From(), To: m.config.To(), Canary: m.canary, Busy: c.services[name].canary, Share: map[string]float64{}}
 		o := c.outcomes[m.config.ID()]
 		v.Done = o.GetDone()
+		v.Canary = v.Canary && !c.exposed(m)
 		v.Stopped = !v.Done && (o != nil || c.stops[m.config.ID()] != nil)
 		for n, r := range m.routes {
-			if !r.evidenceAt.IsZero() {
+			switch {
+			case r.evidenceAt.IsZero():
+			case c.exposed(m):
+				v.Share[n] = 0
+			default:
 				v.Share[n] = m.share(now, r)
 			}
 		}
@@ -275,7 +291,7 @@
 	for i := range c.moves {
 		m := &c.moves[i]
 		id := m.config.ID()
-		x := MoveReport{ID: id, Service: m.config.Service(), From: m.config.From(), To: m.config.To(), By: m.config.By(), State: "canary", Share: map[string]float64{}}
+		x := MoveReport{ID: id, Service: m.config.Service(), From: m.config.From(), To: m.config.To(), By: m.config.End(m.start), State: "canary", Share: map[string]float64{}}
 		for n, r := range m.routes {
 			x.Share[n] = 0
 			if !r.evidenceAt.IsZero() {
--- a/cowslipcontrol/move_test.go
+++ b/cowslipcontrol/move_test.go
@@ -120,8 +120,11 @@
 	if m.r.IntN(4) == 0 {
 		q.route = "lookup"
 	}
-	prefer, _, release := b.view.Service("diaries").Versions(q.route, m.r.Float64())
-	q.version, q.release = prefer, release
+	p, release := b.view.Service("diaries").Versions(q.route, m.r.Float64())
+	q.version, q.release = "v1", release
+	if p.First.Allows("v2") {
+		q.version = "v2"
+	}
 	m.behave(m, q)
 	q.end = m.now.Add(q.latency)
 	m.pending = append(m.pending, q)
--- a/cowslipentry/edge.go
+++ b/cowslipentry/edge.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"cowslipflow/cowslipconfig"
 	"cowslipflow/cowslipplatform"
 	"cowslipflow/cowsliptarget"
 )
@@ -23,12 +24,31 @@
 	// Decode reads all values with that prefix. What cannot be read is named
 	// and left out.
 	Decode func(l []cowslipplatform.Value) (Belief, []error)
+	// EncodeMove gives the key and the value that tell operators how a move stands.
+	EncodeMove func(m cowslipconfig.Move, s MoveState) (key string, data []byte)
+}
+
+// MoveState is how a move stands.
+type MoveState string
+
+// The states of a move on record.
+const (
+	MoveRuns      MoveState = "runs"
+	MoveDone      MoveState = "done"
+	MoveTakenBack MoveState = "takenBack"
+)
+
+// MoveRecord is what the store has on record of a move.
+type MoveRecord struct {
+	Move  string // its ID
+	State MoveState
 }
 
 // Belief is what the store's keys say.
 type Belief struct {
 	Text    string // of the operators, empty if there is none yet
 	Targets []cowslipplatform.Instance
+	Moves   []MoveRecord
 }
 
 // Wire is how requests to targets are spelled.
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -71,6 +71,8 @@
 	RetrySlack   int           // see cowslipcontrol.Options
 	RetryWindow  time.Duration // see cowslipcontrol.Options
 	CopyAge      time.Duration // from which a copy of the store is old, 2 s if 0
+	ExposeShare  float64       // see cowslipcontrol.Options
+	ExposeSlack  int           // see cowslipcontrol.Options
 
 	// Dial opens connections to targets and other entry instances; the
 	// network's own dialer if nil.
@@ -164,7 +166,7 @@
 	e.control = cowslipcontrol.New(cowslipcontrol.Options{
 		ID: o.ID, FailureDomain: o.FailureDomain, Capacity: o.Capacity, Addr: o.Advertise, Incarnation: e.incarnation,
 		NoRamp: o.Baseline.NoRamp, NoPool: o.Baseline.NoPool, NoAdmission: o.Baseline.NoAdmission, RoundRobin: o.Baseline.RoundRobin, Event: e.event,
-		Listed: o.Edge != nil, RemovalGrace: o.RemovalGrace, RetrySlack: o.RetrySlack, RetryWindow: o.RetryWindow,
+		Listed: o.Edge != nil, RemovalGrace: o.RemovalGrace, RetrySlack: o.RetrySlack, RetryWindow: o.RetryWindow, ExposeShare: o.ExposeShare, ExposeSlack: o.ExposeSlack,
 	}, e.clock.Now())
 	e.recorder = &cowsliprecord.Recorder{Entry: o.ID, Store: o.Store, Clock: e.clock, Later: e.runLater}
 	return e, nil
@@ -230,9 +232,9 @@
 // operators' text.
 func (e *Entry) sourceLoops() []func() {
 	if e.o.Edge != nil {
-		return []func(){e.storeLoop, e.followOwn, e.followOthers, e.reachLoop, e.leaseLoop, e.sweepLoop}
+		return []func(){e.storeLoop, e.followOwn, e.followOthers, e.reachLoop, e.moveLoop, e.leaseLoop, e.sweepLoop}
 	}
-	return []func(){e.watchLoop, e.listLoop, e.leaseLoop, e.peerLoop, e.probeLoop}
+	return []func(){e.watchLoop, e.listLoop, e.leaseLoop, func() { e.peerLoop(e.peerAddrs) }, e.probeLoop}
 }
 
 // sweepLoop closes connections to targets that have been idle for too long.
--- a/cowslipentry/follow.go
+++ b/cowslipentry/follow.go
@@ -279,5 +279,6 @@
 			c.Offer(cowslipcontrol.Accepted{Revision: r, Text: b.Text}, from)
 		}
 		c.Listed(now, b.Targets)
+		learnMoves(c, b.Moves)
 	})
 }
--- a/cowslipentry/forward.go
+++ b/cowslipentry/forward.go
@@ -60,6 +60,7 @@
 	enoughAt time.Time // of a gathering route: when least shards are enough
 	least    int
 	names    []string // of the parts' services
+	releases []func() // of the versions that the parts prefer
 	ends     chan forwardEnd
 	over     chan struct{} // closed when nothing waits for ends any more
 	cancels  []context.CancelFunc
@@ -101,6 +102,7 @@
 	if x, ok := f.relay(ctx); ok {
 		return x
 	}
+	defer f.release()
 	for _, n := range f.names {
 		p, ok := f.part(n)
 		if !ok {
@@ -197,17 +199,27 @@
 		return cowslipquery.CoursePart{}, false
 	}
 	p := cowslipquery.CoursePart{Service: s}
+	var release func()
+	p.Versions, release = s.Versions(f.route.Config().Name(), rand.Float64())
+	f.releases = append(f.releases, release)
 	if l := s.Snapshots(); len(l) > 0 && len(l[0].Parts) > 0 {
 		p.Replicas = l[0].Parts[0].Replicas
 	}
 	return p, true
 }
 
+// release ends the canary requests among the parts.
+func (f *forward) release() {
+	for _, r := range f.releases {
+		r()
+	}
+}
+
 // usable counts the parts of which a target may be asked.
 func usable(l []cowslipquery.CoursePart) int {
 	n := 0
 	for _, p := range l {
-		if slices.ContainsFunc(p.Replicas, (*cowsliproute.Target).Open) {
+		if slices.ContainsFunc(p.Replicas, p.Open) {
 			n++
 		}
 	}
--- a/cowslipentry/loop.go
+++ b/cowslipentry/loop.go
@@ -49,6 +49,9 @@
 	if len(x.Outcomes) > 0 {
 		e.recordOutcomes(x.Outcomes)
 	}
+	for _, m := range x.Started {
+		e.once("started/"+m.ID(), outcomePause, func(ctx context.Context) { e.recordMove(ctx, m, MoveRuns) })
+	}
 }
 
 // setReady decides whether the balancer sends callers here.
@@ -96,13 +99,18 @@
 // recordOutcomes writes the ends of moves, one task each at a time.
 func (e *Entry) recordOutcomes(l []*cowslipmessage.Outcome) {
 	for _, o := range l {
-		if _, busy := e.busy.LoadOrStore("outcome/"+o.GetMove(), true); busy {
-			continue
-		}
-		e.runLater(func(ctx context.Context) {
-			e.recordOutcome(ctx, o)
-			e.sleep(ctx, outcomePause)
-			e.busy.Delete("outcome/" + o.GetMove())
-		})
+		e.once("outcome/"+o.GetMove(), outcomePause, func(ctx context.Context) { e.recordOutcome(ctx, o) })
+	}
+}
+
+// once starts a task unless one of that name runs or ended less than a pause ago.
+func (e *Entry) once(name string, pause time.Duration, task func(context.Context)) {
+	if _, busy := e.busy.LoadOrStore(name, true); busy {
+		return
 	}
+	e.runLater(func(ctx context.Context) {
+		task(ctx)
+		e.sleep(ctx, pause)
+		e.busy.Delete(name)
+	})
 }
--- a/cowslipentry/peers.go
+++ b/cowslipentry/peers.go
@@ -22,9 +22,9 @@
 // errStopped says that the control loop has ended.
 const errStopped = errors.ConstError("cowslipentry: stopped")
 
-// peerLoop exchanges state with all peers at an interval, and at once when
-// something must spread.
-func (e *Entry) peerLoop() {
+// peerLoop exchanges state with the peers that addrs names at an interval, and at
+// once when something must spread.
+func (e *Entry) peerLoop(addrs func() map[string]string) {
 	clients := map[string]*cowslippeer.Client{}
 	defer func() {
 		for _, c := range clients {
@@ -33,7 +33,7 @@
 	}()
 	var busy sync.Map
 	for e.life.Err() == nil {
-		for id, addr := range e.peerAddrs() {
+		for id, addr := range addrs() {
 			k := clients[addr]
 			if k == nil {
 				k = &cowslippeer.Client{Addr: addr, Dial: e.o.Dial}
--- a/cowslipentry/platform.go
+++ b/cowslipentry/platform.go
@@ -183,6 +183,10 @@
 
 // recordOutcome writes the end of a move; the first record stands.
 func (e *Entry) recordOutcome(ctx context.Context, o *cowslipmessage.Outcome) {
+	if e.o.Edge != nil {
+		e.recordEnd(ctx, o)
+		return
+	}
 	t, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	b, err := json.Marshal(o)
--- a/cowslipentry/record.go
+++ b/cowslipentry/record.go
@@ -54,12 +54,12 @@
 // request did not run.
 func (e *Entry) sendRecord(ctx context.Context, c call, s *cowsliproute.Service, digest uint64) (string, cowsliptarget.Outcome) {
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	prefer, fallback, release := s.Versions(c.route, r.Float64())
+	versions, release := s.Versions(c.route, r.Float64())
 	defer release()
 	var tried []*cowsliproute.Target
 	last := cowsliptarget.NotSent
 	for n := 0; n < maxRecordAttempts && ctx.Err() == nil; {
-		t := e.pickRecord(c, s, prefer, fallback, tried, r)
+		t := e.pickRecord(c, s, versions, tried, r)
 		if t == nil {
 			if !e.sleep(ctx, roomPause) {
 				break
@@ -77,19 +77,19 @@
 	return "", last
 }
 
-func (e *Entry) pickRecord(c call, s *cowsliproute.Service, prefer, fallback string, tried []*cowsliproute.Target, r *rand.Rand) *cowsliproute.Target {
+func (e *Entry) pickRecord(c call, s *cowsliproute.Service, versions cowsliproute.Preference, tried []*cowsliproute.Target, r *rand.Rand) *cowsliproute.Target {
 	scope := c.view.Scope(e.clock.Now())
 	if scope == cowsliproute.ScopeNone {
 		return nil
 	}
 	p := s.Snapshots()[0].Parts[0]
-	o := cowsliproute.PickOptions{Version: prefer, Own: scope == cowsliproute.ScopeOwn, Except: tried}
-	t := c.view.Pick(p.Replicas, o, r)
-	if t == nil && fallback != "" {
-		o.Version = fallback
-		t = c.view.Pick(p.Replicas, o, r)
+	for _, v := range versions.Sets() {
+		o := cowsliproute.PickOptions{Version: v, Own: scope == cowsliproute.ScopeOwn, Except: tried}
+		if t := c.view.Pick(p.Replicas, o, r); t != nil {
+			return t
+		}
 	}
-	return t
+	return nil
 }
 
 func (e *Entry) sendRecordTo(ctx context.Context, c call, s *cowsliproute.Service, t *cowsliproute.Target, n int, digest uint64) (string, cowsliptarget.Outcome) {
--- a/cowslipentry/search.go
+++ b/cowslipentry/search.go
@@ -145,13 +145,13 @@
 // targets turn out to hold other index versions than the view knows.
 func (e *Entry) searchService(ctx context.Context, c call, s *cowsliproute.Service, single bool) cowslipquery.Result {
 	g := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	prefer, fallback, release := s.Versions(c.route, g.Float64())
+	versions, release := s.Versions(c.route, g.Float64())
 	defer release()
 	sent := 0
 	for n := range maxReruns {
 		q := cowslipquery.New(cowslipquery.Options{
 			ID: c.id + "." + strconv.Itoa(n), View: c.view, Service: s, Route: c.route, Text: c.text, Start: c.start, Deadline: c.deadline,
-			Prefer: prefer, Fallback: fallback, Single: single, NoHedge: e.o.Baseline.NoHedge, Last: n == maxReruns-1, Rand: g,
+			Versions: versions, Single: single, NoHedge: e.o.Baseline.NoHedge, Last: n == maxReruns-1, Rand: g,
 		})
 		x := &run{Entry: e, call: c, service: s, query: q, ends: make(chan ended, 16), cancels: map[int]context.CancelFunc{}}
 		r := x.drive(ctx)
--- a/cowslipmirror/mirror.go
+++ b/cowslipmirror/mirror.go
@@ -52,6 +52,14 @@
 	return m.at
 }
 
+// Get gives the value of a key, if there is one.
+func (m *Mirror) Get(key string) (cowslipplatform.Value, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v, ok := m.values[key]
+	return v, ok
+}
+
 // Values gives the content.
 func (m *Mirror) Values() []cowslipplatform.Value {
 	m.mu.Lock()
--- a/cowslipquery/course.go
+++ b/cowslipquery/course.go
@@ -20,6 +20,12 @@
 type CoursePart struct {
 	Service  *cowsliproute.Service // whose budget retries and hedges draw on
 	Replicas []*cowsliproute.Target
+	Versions cowsliproute.Preference
+}
+
+// Open tells whether a replica may be asked for the part at all.
+func (p CoursePart) Open(t *cowsliproute.Target) bool {
+	return t.Open() && slices.ContainsFunc(p.Versions.Sets(), func(s cowsliproute.VersionSet) bool { return s.Allows(t.Info().Version) })
 }
 
 // CourseOptions describe a course. View, Parts, CloseAt and Rand are needed.
@@ -30,8 +36,6 @@
 	HedgeAfter time.Duration // of waiting before a second replica is asked, 0 for never
 	Attempts   int           // replicas of a part that may run the request, maxAttempts if 0
 	Once       bool          // the request may run once at most
-	Prefer     string        // version to ask first, empty for any
-	Fallback   string        // version to ask next, empty for none
 	Near       bool          // prefer targets of the own failure domain that are as good
 	Single     bool          // ask one target first, and the others only once it answered
 	Proven     bool          // a target has answered the request before
@@ -294,7 +298,7 @@
 }
 
 func (c *Course) pick(n int, own, idle bool, now time.Time) *cowsliproute.Target {
-	for _, v := range c.versions() {
+	for _, v := range c.o.Parts[n].Versions.Sets() {
 		o := cowsliproute.PickOptions{Version: v, Own: own, Idle: idle, Except: c.parts[n].tried, Now: now, Near: c.o.Near}
 		if t := c.o.View.Pick(c.o.Parts[n].Replicas, o, c.o.Rand); t != nil {
 			return t
@@ -303,13 +307,6 @@
 	return nil
 }
 
-func (c *Course) versions() []string {
-	if c.o.Fallback == "" {
-		return []string{c.o.Prefer}
-	}
-	return []string{c.o.Prefer, c.o.Fallback}
-}
-
 // reachable tells whether waiting can bring an answer: some replica not tried
 // yet may be asked, though it has no room now.
 func (c *Course) reachable(n int, own bool) bool {
@@ -317,13 +314,13 @@
 	if p.attempts >= c.o.Attempts || p.sends >= c.maxSends() {
 		return false
 	}
-	return slices.ContainsFunc(c.versions(), func(v string) bool { return c.untried(n, v, own) })
+	return slices.ContainsFunc(c.o.Parts[n].Versions.Sets(), func(v cowsliproute.VersionSet) bool { return c.untried(n, v, own) })
 }
 
-func (c *Course) untried(n int, version string, own bool) bool {
+func (c *Course) untried(n int, version cowsliproute.VersionSet, own bool) bool {
 	return slices.ContainsFunc(c.o.Parts[n].Replicas, func(t *cowsliproute.Target) bool {
 		i := t.Info()
-		if version != "" && i.Version != version || own && i.FailureDomain != c.o.View.FailureDomain() || t.Leaving() {
+		if !version.Allows(i.Version) || own && i.FailureDomain != c.o.View.FailureDomain() || t.Leaving() {
 			return false
 		}
 		return !slices.Contains(c.parts[n].tried, t)
@@ -375,7 +372,7 @@
 func (c *Course) free(a attempt, o cowsliptarget.Outcome) bool {
 	// Few requests prefer a version that is not proven yet; their parts are
 	// owed an answer by the one that is.
-	free := c.o.Fallback != "" && a.target.Info().Version == c.o.Prefer
+	free := c.o.Parts[a.part].Versions.Unproven(a.target.Info().Version)
 	switch o {
 	case cowsliptarget.NotSent, cowsliptarget.Leaving, cowsliptarget.WrongVersion, cowsliptarget.Restarted:
 		free = true
--- a/cowslipquery/query.go
+++ b/cowslipquery/query.go
@@ -28,11 +28,10 @@
 	Text     string
 	Start    time.Time
 	Deadline time.Duration
-	Prefer   string // version to ask first, empty for any
-	Fallback string // version to ask next, empty for none
-	Single   bool   // ask one target first, and the others only once it answered
-	NoHedge  bool   // a baseline for measurements
-	Last     bool   // make the best of this view, however stale
+	Versions cowsliproute.Preference
+	Single   bool // ask one target first, and the others only once it answered
+	NoHedge  bool // a baseline for measurements
+	Last     bool // make the best of this view, however stale
 	Rand     *rand.Rand
 }
 
@@ -148,7 +147,7 @@
 // pin starts the parts of a snapshot afresh; nothing of another one is kept.
 func (q *Query) pin(n int) {
 	o := CourseOptions{
-		View: q.o.View, CloseAt: q.closeAt, HedgeAfter: q.o.Service.HedgeAfter(), Prefer: q.o.Prefer, Fallback: q.o.Fallback, Single: q.o.Single, AskAgain: true, Rand: q.o.Rand,
+		View: q.o.View, CloseAt: q.closeAt, HedgeAfter: q.o.Service.HedgeAfter(), Single: q.o.Single, AskAgain: true, Rand: q.o.Rand,
 	}
 	if q.o.NoHedge {
 		o.HedgeAfter = 0
@@ -164,7 +163,7 @@
 	q.searches = nil
 	if s := q.o.Service.Snapshots(); n < len(s) {
 		for _, p := range s[n].Parts {
-			o.Parts = append(o.Parts, CoursePart{Service: q.o.Service, Replicas: p.Replicas})
+			o.Parts = append(o.Parts, CoursePart{Service: q.o.Service, Replicas: p.Replicas, Versions: q.o.Versions})
 		}
 	}
 	q.needed = len(o.Parts)
--- a/cowslipquery/query_test.go
+++ b/cowslipquery/query_test.go
@@ -300,7 +300,9 @@
 		s.Parts[i].Replicas = append(s.Parts[i].Replicas, x)
 	}
 	w := newWorld(t, ok, s)
-	r := w.run(w.query(func(o *cowslipquery.Options) { o.Prefer, o.Fallback = "v2", "v1" }))
+	r := w.run(w.query(func(o *cowslipquery.Options) {
+		o.Versions = cowsliproute.Preference{First: cowsliproute.OnlyVersion("v2"), Next: cowsliproute.OnlyVersion("v1"), HasNext: true}
+	}))
 	require.Empty(t, r.Coverage.Missing)
 }
 
--- a/cowsliproute/service.go
+++ b/cowsliproute/service.go
@@ -23,7 +23,7 @@
 // MoveView is a move as requests see it.
 type MoveView struct {
 	ID       string
-	From, To string
+	From, To string             // an empty From stands for all versions but To
 	Share    map[string]float64 // share of To by route; a route not listed is a canary
 	Canary   bool               // this process may send one canary request at a time
 	Stopped  bool               // no request may go to To
@@ -76,25 +76,46 @@
 // Limiter admits queries.
 func (s *Service) Limiter() *Limiter { return s.limiter }
 
-// Versions decides which versions a request of a route may be sent to: prefer
-// first, then fallback if it is not empty; an empty prefer allows any. The
-// draw is uniform in [0,1). A canary request must call release when it ends.
-func (s *Service) Versions(route string, draw float64) (prefer, fallback string, release func()) {
+// Preference is which versions a request may be sent to: those of First, then,
+// if HasNext, those of Next.
+type Preference struct {
+	First, Next VersionSet
+	HasNext     bool
+}
+
+// Unproven tells whether a version is preferred though another one is there to
+// fall back on.
+func (p Preference) Unproven(version string) bool { return p.HasNext && p.First.Allows(version) }
+
+// Sets lists the sets in the order in which targets are looked for.
+func (p Preference) Sets() []VersionSet {
+	if p.HasNext {
+		return []VersionSet{p.First, p.Next}
+	}
+	return []VersionSet{p.First}
+}
+
+// Versions decides which versions a request of a route may be sent to. The draw is
+// uniform in [0,1). A canary request must call release when it ends.
+func (s *Service) Versions(route string, draw float64) (p Preference, release func()) {
 	m := s.move
+	if m == nil {
+		return Preference{First: OnlyVersion(s.config.Version())}, func() {}
+	}
+	before, after := OnlyVersion(m.From), OnlyVersion(m.To)
+	if m.From == "" {
+		before = ExceptVersion(m.To)
+	}
+	p = Preference{First: before}
+	share, known := m.Share[route]
 	switch {
-	case m == nil:
-		return s.config.Version(), "", func() {}
 	case m.Done:
-		return m.To, "", func() {}
+		p.First = after
 	case m.Stopped:
-		return m.From, "", func() {}
-	}
-	share, known := m.Share[route]
-	if known && draw < share {
-		return m.To, m.From, func() {}
-	}
-	if !known && m.Canary && m.Busy.CompareAndSwap(false, true) {
-		return m.To, m.From, func() { m.Busy.Store(false) }
+	case known && draw < share:
+		p = Preference{First: after, Next: before, HasNext: true}
+	case !known && m.Canary && m.Busy.CompareAndSwap(false, true):
+		return Preference{First: after, Next: before, HasNext: true}, func() { m.Busy.Store(false) }
 	}
-	return m.From, "", func() {}
+	return p, func() {}
 }
--- a/cowsliproute/view.go
+++ b/cowsliproute/view.go
@@ -79,7 +79,7 @@
 
 // PickOptions narrow a choice of replica.
 type PickOptions struct {
-	Version string    // the only version allowed; empty means any
+	Version VersionSet
 	Own     bool      // only targets of the view's own failure domain
 	Idle    bool      // only targets with a free slot
 	Except  []*Target // not these
@@ -126,7 +126,7 @@
 }
 
 func (v *View) allowed(t *Target, o PickOptions) bool {
-	if o.Version != "" && t.info.Version != o.Version {
+	if !o.Version.Allows(t.info.Version) {
 		return false
 	}
 	if o.Own && t.info.FailureDomain != v.domain {
--- a/cowsliproute/view_test.go
+++ b/cowsliproute/view_test.go
@@ -57,7 +57,7 @@
 		require.Same(t, l[1], x)
 		x.Release()
 	}
-	require.Nil(t, v.Pick(l, cowsliproute.PickOptions{Version: "v2"}, r))
+	require.Nil(t, v.Pick(l, cowsliproute.PickOptions{Version: cowsliproute.OnlyVersion("v2")}, r))
 	require.Same(t, l[0], v.Pick(l, cowsliproute.PickOptions{Own: true}, r))
 	require.Nil(t, v.Pick(l, cowsliproute.PickOptions{Own: true, Idle: true}, r))
 	require.Same(t, l[0], v.Pick(l, cowsliproute.PickOptions{Except: l[1:]}, r))
@@ -84,7 +84,7 @@
 	v := cowsliproute.NewView(cowsliproute.ViewOptions{})
 	r := rand.New(rand.NewPCG(1, 2))
 	l := replicas(9)
-	require.Zero(t, testing.AllocsPerRun(1000, func() { v.Pick(l, cowsliproute.PickOptions{Version: "v1"}, r).Release() }))
+	require.Zero(t, testing.AllocsPerRun(1000, func() { v.Pick(l, cowsliproute.PickOptions{Version: cowsliproute.OnlyVersion("v1")}, r).Release() }))
 }
 
 func TestBudget(t *testing.T) {
@@ -171,27 +171,27 @@
 	s, _ := c.Service("s")
 	busy := &atomic.Bool{}
 	for _, x := range []struct {
-		name             string
-		move             *cowsliproute.MoveView
-		draw             float64
-		prefer, fallback string
+		name string
+		move *cowsliproute.MoveView
+		draw float64
+		want cowsliproute.Preference
 	}{
-		{"no move", nil, 0, "v1", ""},
-		{"canary of another instance", &cowsliproute.MoveView{From: "v1", To: "v2", Busy: busy}, 0, "v1", ""},
-		{"canary", &cowsliproute.MoveView{From: "v1", To: "v2", Canary: true, Busy: busy}, 0.9, "v2", "v1"},
-		{"in the share", &cowsliproute.MoveView{From: "v1", To: "v2", Share: map[string]float64{"r": 0.5}, Busy: busy}, 0.4, "v2", "v1"},
-		{"beyond the share", &cowsliproute.MoveView{From: "v1", To: "v2", Share: map[string]float64{"r": 0.5}, Busy: busy}, 0.6, "v1", ""},
-		{"stopped", &cowsliproute.MoveView{From: "v1", To: "v2", Share: map[string]float64{"r": 1}, Stopped: true, Busy: busy}, 0, "v1", ""},
-		{"done", &cowsliproute.MoveView{From: "v1", To: "v2", Done: true, Busy: busy}, 0.9, "v2", ""},
+		{"no move", nil, 0, cowsliproute.Preference{First: cowsliproute.OnlyVersion("v1")}},
+		{"canary of another instance", &cowsliproute.MoveView{From: "v1", To: "v2", Busy: busy}, 0, cowsliproute.Preference{First: cowsliproute.OnlyVersion("v1")}},
+		{"canary", &cowsliproute.MoveView{From: "v1", To: "v2", Canary: true, Busy: busy}, 0.9, cowsliproute.Preference{First: cowsliproute.OnlyVersion("v2"), Next: cowsliproute.OnlyVersion("v1"), HasNext: true}},
+		{"in the share", &cowsliproute.MoveView{From: "v1", To: "v2", Share: map[string]float64{"r": 0.5}, Busy: busy}, 0.4, cowsliproute.Preference{First: cowsliproute.OnlyVersion("v2"), Next: cowsliproute.OnlyVersion("v1"), HasNext: true}},
+		{"beyond the share", &cowsliproute.MoveView{From: "v1", To: "v2", Share: map[string]float64{"r": 0.5}, Busy: busy}, 0.6, cowsliproute.Preference{First: cowsliproute.OnlyVersion("v1")}},
+		{"stopped", &cowsliproute.MoveView{From: "v1", To: "v2", Share: map[string]float64{"r": 1}, Stopped: true, Busy: busy}, 0, cowsliproute.Preference{First: cowsliproute.OnlyVersion("v1")}},
+		{"from any version", &cowsliproute.MoveView{To: "v2", Busy: busy}, 0, cowsliproute.Preference{First: cowsliproute.ExceptVersion("v2")}},
+		{"done", &cowsliproute.MoveView{From: "v1", To: "v2", Done: true, Busy: busy}, 0.9, cowsliproute.Preference{First: cowsliproute.OnlyVersion("v2")}},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			v := cowsliproute.NewService(cowsliproute.ServiceOptions{Config: s, Move: x.move})
-			p, f, release := v.Versions("r", x.draw)
-			require.Equal(t, x.prefer, p)
-			require.Equal(t, x.fallback, f)
+			p, release := v.Versions("r", x.draw)
+			require.Equal(t, x.want, p)
 			if x.name == "canary" {
-				p, _, _ = v.Versions("r", x.draw)
-				require.Equal(t, "v1", p, "one at a time")
+				p, _ = v.Versions("r", x.draw)
+				require.Equal(t, cowsliproute.Preference{First: cowsliproute.OnlyVersion("v1")}, p, "one at a time")
 			}
 			release()
 		})
@@ -206,7 +206,7 @@
 			l := replicas(n)
 			b.ReportAllocs()
 			for b.Loop() {
-				v.Pick(l, cowsliproute.PickOptions{Version: "v1"}, r).Release()
+				v.Pick(l, cowsliproute.PickOptions{Version: cowsliproute.OnlyVersion("v1")}, r).Release()
 			}
 		})
 	}
