Pace requests to cold targets where the platform states a rate

Cause: what a cold target of the platform bears a second (warmupPerS) was read and not used, nor was how much longer it is cold.

Change: coldRate of a service; a target whose entry calls it cold is asked by half as many instances as it bears requests a second, one at least, each at its part of the rate, one request at a time. The first requests of all of them in one second thus add half of the rate at most.

Ruled out: a share of the rate for each instance; with more instances than requests a second their first requests alone pass the bound.

--- a/cowslipconfig/check.go
+++ b/cowslipconfig/check.go
@@ -17,6 +17,7 @@
 	minDeadline        = 5 * time.Millisecond
 	maxDeadline        = 10 * time.Minute
 	maxWarmTime        = time.Hour
+	maxColdRate        = 1e6
 	maxPriority        = 9
 	defaultReplicas    = 2
 	defaultSlots       = 2
@@ -113,6 +114,7 @@
 		connectTime: either(time.Duration(r.ConnectTime), defaultConnectTime),
 		warmTime:    either(time.Duration(r.WarmTime), defaultWarmTime),
 		coldSlots:   either(r.ColdSlots, 1),
+		coldRate:    r.ColdRate,
 		deadline:    either(time.Duration(r.Deadline), defaultDeadline),
 		extraLoad:   defaultExtraLoad,
 	}
@@ -137,6 +139,9 @@
 	k.between(p+".slots", s.slots, 1, maxSlots)
 	k.between(p+".connections", s.connections, 1, maxConnections)
 	k.between(p+".coldSlots", s.coldSlots, 1, s.slots)
+	if !(s.coldRate >= 0 && s.coldRate <= maxColdRate) {
+		k.add(p+".coldRate", fmt.Sprintf("%v is out of range", s.coldRate), fmt.Sprintf("write a number of requests a second from 0 to %v", maxColdRate))
+	}
 	k.span(p+".connectTime", s.connectTime, 0, time.Minute)
 	k.span(p+".warmTime", s.warmTime, 0, maxWarmTime)
 	k.span(p+".deadline", s.deadline, minDeadline, maxDeadline)
--- a/cowslipconfig/config.go
+++ b/cowslipconfig/config.go
@@ -116,6 +116,7 @@
 	connectTime time.Duration
 	warmTime    time.Duration
 	coldSlots   int
+	coldRate    float64
 	deadline    time.Duration
 	extraLoad   float64
 	dependsOn   []string
@@ -152,6 +153,10 @@
 // by all entry instances together.
 func (s Service) ColdSlots() int { return s.coldSlots }
 
+// ColdRate is the number of requests a second that a cold target bears, sent by all
+// entry instances together; 0 sets no bound.
+func (s Service) ColdRate() float64 { return s.coldRate }
+
 // Deadline bounds a request whose class sets no deadline.
 func (s Service) Deadline() time.Duration { return s.deadline }
 
--- a/cowslipconfig/draft.go
+++ b/cowslipconfig/draft.go
@@ -44,6 +44,7 @@
 	ConnectTime Duration `toml:"connectTime,omitempty"`
 	WarmTime    Duration `toml:"warmTime,omitempty"`
 	ColdSlots   int      `toml:"coldSlots,omitempty"`
+	ColdRate    float64  `toml:"coldRate,omitempty"`
 	Deadline    Duration `toml:"deadline,omitempty"`
 	ExtraLoad   *float64 `toml:"extraLoad,omitempty"`
 	DependsOn   []string `toml:"dependsOn,omitempty"`
--- a/cowslipconfig/parse_test.go
+++ b/cowslipconfig/parse_test.go
@@ -92,6 +92,7 @@
 		{"to = \"v2\"", "to = \"v1\"", 32, "moves[0].to", "no other version"},
 		{"by = 2027-01-31T18:00:00Z", "", 30, "moves[0].by", "missing"},
 		{"by = 2027-01-31T18:00:00Z", "by = 2027-01-31T18:00:00Z\nwithin = \"12s\"\norder = 3", 34, "moves[0].within", "an end already"},
+		{"shards = 30", "shards = 30\ncoldRate = -1.0", 19, "services[0].coldRate", "-1 is out of range"},
 		{"by = 2027-01-31T18:00:00Z", "within = \"12s\"", 30, "moves[0].order", "missing"},
 		{"by = 2027-01-31T18:00:00Z", "within = \"-12s\"\norder = 3", 33, "moves[0].within", "-12s"},
 		{"[[classes]]", "[[classes]", 9, "text", ""},
--- a/cowslipcontrol/limits.go
+++ b/cowslipcontrol/limits.go
@@ -122,6 +122,11 @@
 }
 
 func (c *Control) capacity(now time.Time, t *target, sharers group) (limit, keep int) {
+	limit, keep = c.warmCapacity(now, t, sharers)
+	return min(limit, c.pace(now, t, sharers, limit)), keep
+}
+
+func (c *Control) warmCapacity(now time.Time, t *target, sharers group) (limit, keep int) {
 	i := t.handle.Info()
 	s, _ := c.config.Service(i.Service)
 	if w := t.since.Add(s.WarmTime()); !c.o.NoRamp && (t.cold || now.Before(w)) {
--- a/cowslipcontrol/membership.go
+++ b/cowslipcontrol/membership.go
@@ -32,6 +32,8 @@
 	listLeaving bool
 	selfLeaving bool
 	cold        bool
+	coldFor     time.Duration // as its entry on the platform last said
+	coldTill    time.Time     // by that entry, since it was read
 	holdings    []cowsliptarget.Holding
 	failures    int
 	ejected     bool
@@ -94,6 +96,10 @@
 	for _, i := range l {
 		seen[i.ID] = true
 		t := c.ensureTarget(now, i)
+		if t.coldFor != i.ColdFor {
+			t.coldFor, t.coldTill = i.ColdFor, now.Add(i.ColdFor)
+			c.limitsDirty = true
+		}
 		if t.listLeaving != i.Leaving || !t.unlisted.IsZero() {
 			t.listLeaving = i.Leaving
 			t.unlisted = time.Time{}
--- a/cowsliproute/target.go
+++ b/cowsliproute/target.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -48,7 +50,8 @@
 	held     atomic.Int64 // number of the hold that is on, 0 if none is
 
 	incarnation atomic.Pointer[string]
-	moving      atomic.Int64 // when the requests in flight last moved on: one was sent to an idle target, or one ended
+	pace        atomic.Pointer[rate.Limiter] // of a cold target, nil for none
+	moving      atomic.Int64                 // when the requests in flight last moved on: one was sent to an idle target, or one ended
 }
 
 // NewTarget makes a target that receives nothing until SetLimit opens it.
@@ -63,6 +66,18 @@
 // Limit is how many requests this process may have in flight at it.
 func (t *Target) Limit() int { return int(t.limit.Load()) }
 
+// SetPace bounds the requests of this process to the target to a rate, one at a
+// time; 0 ends that.
+func (t *Target) SetPace(perSecond float64) {
+	p := t.pace.Load()
+	switch {
+	case perSecond <= 0:
+		t.pace.Store(nil)
+	case p == nil || p.Limit() != rate.Limit(perSecond):
+		t.pace.Store(rate.NewLimiter(rate.Limit(perSecond), 1))
+	}
+}
+
 // SetKeep sets how many idle connections this process may keep open to it.
 func (t *Target) SetKeep(n int) { t.keep.Store(int64(n)) }
 
@@ -151,6 +166,24 @@
 	return true
 }
 
+// due tells whether a request may come to the target at now by its pace.
+func (t *Target) due(now time.Time) bool {
+	p := t.pace.Load()
+	return p == nil || now.IsZero() || p.TokensAt(now) >= 1
+}
+
+// acquireAt is Acquire within the target's pace.
+func (t *Target) acquireAt(now time.Time) bool {
+	if !t.Acquire() {
+		return false
+	}
+	if p := t.pace.Load(); p != nil && !now.IsZero() && !p.AllowN(now, 1) {
+		t.Release()
+		return false
+	}
+	return true
+}
+
 // Release gives room back.
 func (t *Target) Release() { t.inFlight.Add(-1) }
 
--- a/cowsliproute/view.go
+++ b/cowsliproute/view.go
@@ -83,7 +83,7 @@
 	Own     bool      // only targets of the view's own failure domain
 	Idle    bool      // only targets with a free slot
 	Except  []*Target // not these
-	Now     time.Time // to tell stalled targets; zero leaves that out
+	Now     time.Time // to tell stalled targets and to pace cold ones; zero leaves that out
 	Near    bool      // prefer targets of the view's own failure domain that are as good
 }
 
@@ -111,7 +111,7 @@
 			best = t
 		}
 	}
-	if best != nil && best.Acquire() {
+	if best != nil && best.acquireAt(o.Now) {
 		return best
 	}
 	return nil
@@ -132,6 +132,9 @@
 	if o.Own && t.info.FailureDomain != v.domain {
 		return false
 	}
+	if !t.due(o.Now) {
+		return false
+	}
 	for _, e := range o.Except {
 		if e == t {
 			return false
