Do not take targets that hang, or a late process, for a cut

One instance found all domains silent at once: it was itself late.

Change: a request that was not answered tells of a cut only if no target of the failure domain answered while it waited; and silence in all failure domains at once is none.

--- a/cowslipcontrol/domain.go
+++ b/cowslipcontrol/domain.go
@@ -63,6 +63,9 @@
 		c.reached(s.At, d, r, "a target answered")
 		return
 	}
+	if r.answered.After(s.At.Add(-s.Latency)) {
+		return // the failure domain was there while the request waited
+	}
 	c.miss(s.At, r, s.Target, "requests in a row did not reach %d targets")
 }
 
@@ -83,16 +86,21 @@
 }
 
 // runSilence finds a cut before the requests behind it time out: several targets of
-// a failure domain hold requests, and none there answers.
+// a failure domain hold requests, and none there answers. Where none answers in any
+// failure domain, it is this process that is late.
 func (c *Control) runSilence(now time.Time) {
 	if now.Sub(c.ticked) > silenceGap {
 		c.resumed = now
 	}
+	var latest time.Time
+	for _, r := range c.reaches {
+		latest = later(latest, r.answered)
+	}
 	for i := range c.targets {
 		h := c.targets[i].handle
 		r := c.reachOf(h.Info().FailureDomain)
 		s := silenceFactor * c.patience[h.Info().Service]
-		if s == 0 || h.Silence(now) < s || now.Sub(r.answered) < s || now.Sub(c.resumed) < s || r.missed[h] {
+		if s == 0 || h.Silence(now) < s || now.Sub(r.answered) < s || now.Sub(c.resumed) < s || now.Sub(latest) >= s || r.missed[h] {
 			continue
 		}
 		c.miss(now, r, h, "%d targets hold requests, and none answers")
