Stay isolated until somebody behind the cut answers

(1) Two of three other failure domains were found cut at 33.73 s; from then on wide queries were refused at once, so that nothing was sent to the third one, which thus never counted as cut, and the instances stayed ready for 2 s more while they served nobody. (2) Peers that refuse connections counted as gone, so that the targets were tried again after 2 s, and the instances called themselves ready each time, for 150 ms to 300 ms, long enough for the balancer to send them callers again. (3) A connection that the cut reset counted as an answer.

Change: after a first cut the other failure domains have 300 ms to answer, and their instances, also those that refused, are asked each 100 ms. An instance that reaches none and cannot serve its routes is isolated until one answers; trying targets again does not end that. A reset tells nothing either way.

Test that failed first: TestIsolatedThoughNotAllWereAsked. TestHealedCutEnds now expects the third failure domain to be asked as well until it has answered.

--- a/cowslipcontrol/domain.go
+++ b/cowslipcontrol/domain.go
@@ -35,6 +35,7 @@
 	missed map[*cowsliproute.Target]bool // not reached since any target there answered
 	cut    time.Time                     // since when it counts as cut off, zero if it does not
 
+	doubt    time.Time     // when the first cut began since which nobody there answered, zero if there is none
 	answered time.Time     // when a target there last answered
 	reached  time.Time     // when the last cut ended
 	patience time.Duration // after a cut until an answer of an instance there ends it
@@ -55,11 +56,12 @@
 	d := s.Target.Info().FailureDomain
 	r := c.reachOf(d)
 	switch {
-	case s.GivenUp || s.Outcome == cowsliptarget.Cancelled && !s.TimedOut:
+	case s.GivenUp || s.Outcome == cowsliptarget.Cancelled && !s.TimedOut || s.Outcome == cowsliptarget.Lost:
+		// A connection that was reset tells nothing: a cut may do that, or the target.
 		return
 	case s.Outcome != cowsliptarget.NotSent && s.Outcome != cowsliptarget.Cancelled:
 		clear(r.missed)
-		r.answered = s.At
+		r.answered, r.doubt = s.At, time.Time{}
 		c.reached(s.At, d, r, "a target answered")
 		return
 	}
@@ -81,6 +83,9 @@
 		r.patience = 0
 	}
 	r.cut = now
+	if r.doubt.IsZero() {
+		r.doubt = now
+	}
 	c.limitsDirty = true
 	c.o.Event("failureDomainCutOff", t.Info().FailureDomain, fmt.Sprintf(how, len(r.missed)))
 }
@@ -121,11 +126,14 @@
 // instances has answered, or after a while.
 func (c *Control) runReach(now time.Time) {
 	for d, r := range c.reaches {
+		if !r.doubt.IsZero() && c.heardFromDomain(d, r.doubt) {
+			r.doubt = time.Time{}
+		}
 		if r.cut.IsZero() {
 			continue
 		}
 		wait := cutRetry
-		if len(c.peersIn(d)) > 0 {
+		if len(c.instancesIn(d)) > 0 {
 			wait = cutRetryAsked
 		}
 		if now.Sub(r.cut) >= wait {
@@ -140,79 +148,3 @@
 		}
 	}
 }
-
-func (c *Control) peersIn(domain string) []Member {
-	var l []Member
-	for i := range c.peers {
-		if p := &c.peers[i]; p.failureDomain == domain && !p.gone() {
-			l = append(l, p.member())
-		}
-	}
-	return l
-}
-
-// CutOff lists the instances of each failure domain that counts as cut off. Any
-// answer of one ends that.
-func (c *Control) CutOff() map[string][]Member {
-	m := map[string][]Member{}
-	for d, r := range c.reaches {
-		if l := c.peersIn(d); !r.cut.IsZero() && len(l) > 0 {
-			m[d] = l
-		}
-	}
-	return m
-}
-
-// Isolated tells whether this instance should get no callers, since others can
-// serve them better: no other failure domain with targets can be reached, and
-// there are routes that the own targets cannot serve.
-func (c *Control) Isolated() bool {
-	others := false
-	for i := range c.targets {
-		t := &c.targets[i]
-		if d := t.handle.Info().FailureDomain; d != c.o.FailureDomain && c.serving(t) {
-			if c.reachOf(d).cut.IsZero() {
-				return false
-			}
-			others = true
-		}
-	}
-	return others && c.unserved()
-}
-
-// unserved tells whether a route that targets are listed for cannot be served
-// by those that may be asked.
-func (c *Control) unserved() bool {
-	listed, open := map[string]bool{}, map[string]bool{}
-	for i := range c.targets {
-		h := c.targets[i].handle
-		n := h.Info().Service
-		listed[n] = listed[n] || c.serving(&c.targets[i])
-		open[n] = open[n] || h.Open()
-	}
-	for _, r := range c.config.Routes() {
-		if g := r.Gather(); len(g) > 0 {
-			if shareOf(listed, g) >= r.Least() && shareOf(open, g) < r.Least() {
-				return true
-			}
-			continue
-		}
-		for _, s := range r.Split() {
-			if s.Weight() > 0 && listed[s.Service()] && !open[s.Service()] {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// shareOf is the part of the names that is set.
-func shareOf(set map[string]bool, names []string) float64 {
-	n := 0
-	for _, x := range names {
-		if set[x] {
-			n++
-		}
-	}
-	return float64(n) / float64(len(names))
-}
--- a/cowslipcontrol/domain_test.go
+++ b/cowslipcontrol/domain_test.go
@@ -123,9 +123,9 @@
 	cut("plan", 0, 1, 3, 4)
 	require.Zero(t, x.replica(1, "plan").Limit(), "no single target failed often enough")
 	require.NotZero(t, x.replica(0, "cerro").Limit())
-	require.False(t, x.Isolated(), "the third failure domain is reached")
+	require.False(t, x.Isolated(x.now), "the third failure domain is reached")
 	cut("puerto", 1, 2, 3, 5)
-	require.True(t, x.Isolated())
+	require.True(t, x.Isolated(x.now))
 	require.NotZero(t, x.replica(2, "cerro").Limit(), "its own targets serve whom they can")
 }
 
@@ -176,6 +176,28 @@
 	}
 }
 
+// Load: a cut that refuses connections, so that wide queries are refused at once and
+// nothing more is sent to the failure domains that were not found out yet. An instance
+// that serves nobody sends its callers elsewhere all the same, until somebody behind
+// the cut answers; that targets are tried again is no answer.
+func TestIsolatedThoughNotAllWereAsked(t *testing.T) {
+	x := newListed(t, allOver...)
+	x.Members(x.now, []cowslipcontrol.Member{{ID: "e2", FailureDomain: "plan", Addr: "e2"}})
+	x.PeerFailed(x.now, "e2", true)
+	x.miss("plan", 0, 1, 3, 4)
+	require.False(t, x.Isolated(x.now), "the third failure domain may answer yet")
+	require.Contains(t, x.Doubted(), "plan", "also those that refused are asked")
+	x.tick(300 * time.Millisecond)
+	require.True(t, x.Isolated(x.now))
+	x.observe(x.replica(1, "puerto"), cowsliptarget.Lost)
+	x.tick(7 * time.Second)
+	require.NotZero(t, x.replica(3, "plan").Limit(), "tried again")
+	require.True(t, x.Isolated(x.now))
+	x.observe(x.replica(1, "puerto"), cowsliptarget.OK)
+	x.tick(50 * time.Millisecond)
+	require.False(t, x.Isolated(x.now))
+}
+
 // Load: replicas of many shards hang, and the requests of one query to them time out
 // together. Others of the failure domain have answered meanwhile: it is not cut off.
 func TestHangingTargetsAreNoCut(t *testing.T) {
@@ -197,12 +219,14 @@
 func TestHealedCutEnds(t *testing.T) {
 	x := newListed(t, allOver...)
 	x.Members(x.now, []cowslipcontrol.Member{{ID: "e2", FailureDomain: "plan", Addr: "e2"}, {ID: "e3", FailureDomain: "puerto", Addr: "e3"}})
-	require.Empty(t, x.CutOff())
+	require.Empty(t, x.Doubted())
 	x.miss("plan", 0, 1, 3, 4)
-	require.Equal(t, map[string][]cowslipcontrol.Member{"plan": {{ID: "e2", FailureDomain: "plan", Addr: "e2"}}}, x.CutOff())
+	require.Len(t, x.Doubted(), 2, "the other one has not answered since")
+	x.observe(x.replica(1, "puerto"), cowsliptarget.OK)
+	require.Equal(t, map[string][]cowslipcontrol.Member{"plan": {{ID: "e2", FailureDomain: "plan", Addr: "e2"}}}, x.Doubted())
 	x.PeerAnswered(x.now, "e2")
 	x.tick(50 * time.Millisecond)
-	require.Empty(t, x.CutOff())
+	require.Empty(t, x.Doubted())
 	require.NotZero(t, x.replica(3, "plan").Limit())
 	x.tick(10 * time.Second)
 	x.miss("plan", 0, 1, 3, 4)
@@ -276,7 +300,7 @@
 	}
 	x.tick(50 * time.Millisecond)
 	require.Zero(t, x.replica(0, "plan").Limit())
-	require.False(t, x.Isolated())
+	require.False(t, x.Isolated(x.now))
 }
 
 // A target whose entry lapses serves for the grace, and one that comes back
--- a/cowslipentry/reach.go
+++ b/cowslipentry/reach.go
@@ -9,18 +9,21 @@
 	"cowslipflow/cowslippeer"
 )
 
-// reachInterval is how often an instance of a failure domain that counts as cut
-// off is asked for a sign.
-const reachInterval = 250 * time.Millisecond
+// reachInterval is how often an instance of a failure domain that may be cut off is
+// asked for a sign.
+const reachInterval = 100 * time.Millisecond
 
-// reachLoop asks instances of failure domains that count as cut off, another one
-// each time, so that a healed cut is noticed without requests of callers.
+// reachLoop asks instances of failure domains that may be cut off, another one each
+// time, so that a healed cut is noticed without requests of callers.
 func (e *Entry) reachLoop() {
 	for e.sleep(e.life, reachInterval) {
 		var cut map[string][]cowslipcontrol.Member
-		e.do(func(_ time.Time, c *cowslipcontrol.Control) { cut = c.CutOff() })
+		e.do(func(_ time.Time, c *cowslipcontrol.Control) { cut = c.Doubted() })
 		var w sync.WaitGroup
 		for _, l := range cut {
+			if len(l) == 0 {
+				continue
+			}
 			m := l[rand.IntN(len(l))]
 			w.Go(func() { e.askForSign(m) })
 		}
