Tell instances beside an isolated one of the cut

Change: a follower hears from the instance that it follows, about each third of a second, whether that is isolated; unless another failure domain has answered it within 300 ms, it doubts them all and asks their instances, which settles it either way.

Ruled out: the relay's refusal as the sign; it comes only with a caller's request.

Test that failed first: TestNeighbourTellsOfACut.

--- a/cowslipcontrol/domain_test.go
+++ b/cowslipcontrol/domain_test.go
@@ -198,6 +198,27 @@
 	require.False(t, x.Isolated(x.now))
 }
 
+// Load: a cut at a failure domain of many small instances, which pass their wide
+// requests on and send little themselves. They learn of it from one that sends more,
+// unless others answer them.
+func TestNeighbourTellsOfACut(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		x := newListed(t, allOver...)
+		x.Members(x.now, []cowslipcontrol.Member{{ID: "e2", FailureDomain: "plan", Addr: "e2"}})
+		if answered {
+			x.PeerAnswered(x.now, "e2")
+		}
+		x.NeighbourIsolated(x.now)
+		x.tick(50 * time.Millisecond)
+		require.Equal(t, !answered, x.Isolated(x.now))
+		require.NotZero(t, x.replica(1, "plan").Limit(), "targets are tried for callers who still come")
+		require.Equal(t, !answered, len(x.Doubted()) > 0)
+		x.PeerAnswered(x.now, "e2")
+		x.tick(50 * time.Millisecond)
+		require.False(t, x.Isolated(x.now))
+	}
+}
+
 // Load: replicas of many shards hang, and the requests of one query to them time out
 // together. Others of the failure domain have answered meanwhile: it is not cut off.
 func TestHangingTargetsAreNoCut(t *testing.T) {
--- a/cowslipcontrol/isolation.go
+++ b/cowslipcontrol/isolation.go
@@ -27,6 +27,30 @@
 	return others && c.unserved(first)
 }
 
+// NeighbourIsolated handles an instance of the own failure domain that reaches no
+// other one: unless one of them has answered this instance lately, all are in doubt
+// here, too. Instances that send little themselves would find a cut out late.
+func (c *Control) NeighbourIsolated(now time.Time) {
+	lately := now.Add(-isolationGrace)
+	others := map[string]bool{}
+	for i := range c.targets {
+		if d := c.targets[i].handle.Info().FailureDomain; d != c.o.FailureDomain && c.serving(&c.targets[i]) {
+			others[d] = true
+		}
+	}
+	for d := range others {
+		if c.known(d, lately) {
+			return
+		}
+	}
+	for d := range others {
+		if r := c.reachOf(d); r.doubt.IsZero() {
+			r.doubt = now
+			c.o.Event("failureDomainInDoubt", d, "an instance beside this one reaches no other failure domain")
+		}
+	}
+}
+
 // firstDoubt is when the earliest cut began that nobody behind it has ended by an
 // answer, zero if there is none.
 func (c *Control) firstDoubt() time.Time {
--- a/cowslipentry/follow.go
+++ b/cowslipentry/follow.go
@@ -212,7 +212,12 @@
 		e.do(func(now time.Time, c *cowslipcontrol.Control) { c.PeerFailed(now, m.ID, cowslippeer.IsRefused(err)) })
 		return false
 	}
-	e.do(func(now time.Time, c *cowslipcontrol.Control) { c.PeerAnswered(now, m.ID) })
+	e.do(func(now time.Time, c *cowslipcontrol.Control) {
+		c.PeerAnswered(now, m.ID)
+		if p.GetIsolated() && m.FailureDomain == e.o.FailureDomain {
+			c.NeighbourIsolated(now)
+		}
+	})
 	e.applyUpdate(updateOf(p, e.clock.Now()), "peer "+m.ID)
 	return p.GetRevision() > 0
 }
@@ -247,7 +252,7 @@
 		e.mirror.Wait(t, r.GetRevision())
 	}
 	u := e.mirror.Since(r.GetRevision())
-	p := &cowslipmessage.FollowReply{Whole: u.Whole, From: u.From, Revision: u.Revision, AgeMillis: -1}
+	p := &cowslipmessage.FollowReply{Whole: u.Whole, From: u.From, Revision: u.Revision, AgeMillis: -1, Isolated: e.isolated.Load() != 0}
 	if !u.At.IsZero() {
 		p.AgeMillis = e.clock.Since(u.At).Milliseconds()
 	}
