Take a changed settings file up while an instance runs

Cause: a changed file was checked and logged, and took effect at the next start; one that changed without a signal was not noticed.

Change: the file is read on SIGHUP and each 2 s; bounds (drain, grace, age of copies, retries, exposure) take effect at once, names and addresses are reported and hold until the next start, a wrong file changes nothing. No request is touched: control state and loops read the bounds where they use them.

Test that failed first: TestSettingsAreTakenUpThroughProcesses, under callers' requests, with the race detector 2 of 2 runs.

--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -56,6 +56,22 @@
 	Event func(kind, subject, detail string)
 }
 
+// Bounds are the options that may change while the process runs.
+type Bounds struct {
+	RemovalGrace time.Duration
+	RetrySlack   int
+	RetryWindow  time.Duration
+	ExposeShare  float64
+	ExposeSlack  int
+}
+
+// SetBounds takes up other bounds.
+func (c *Control) SetBounds(b Bounds) {
+	c.o.RemovalGrace, c.o.RetrySlack, c.o.RetryWindow = b.RemovalGrace, b.RetrySlack, b.RetryWindow
+	c.o.ExposeShare, c.o.ExposeSlack = b.ExposeShare, b.ExposeSlack
+	c.limitsDirty = true
+}
+
 // Control is the control state. Make it with New; it is not safe for
 // concurrent use.
 type Control struct {
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -124,7 +124,8 @@
 	relays    atomic.Int64 // requests that are served for other instances
 	storeLost atomic.Bool
 	lag       lag
-	isolated  atomic.Int64 // since when, in nanoseconds since 1970; 0 while it is not
+	tuning    atomic.Pointer[Options] // with the bounds read last, nil until they are read again
+	isolated  atomic.Int64            // since when, in nanoseconds since 1970; 0 while it is not
 }
 
 // New makes an entry instance.
@@ -294,13 +295,14 @@
 
 // awaitRequests waits for the last request, until the end of the grace is near.
 func (e *Entry) awaitRequests(began time.Time, done <-chan struct{}) {
-	if e.o.Grace == 0 {
+	grace := e.tuned().Grace
+	if grace == 0 {
 		<-done
 		return
 	}
 	select {
 	case <-done:
-	case <-e.clock.After(e.o.Grace - e.clock.Since(began) - graceMargin):
+	case <-e.clock.After(grace - e.clock.Since(began) - graceMargin):
 		e.event("requestsLeft", e.o.ID, "the grace is over")
 	}
 }
--- a/cowslipentry/follow.go
+++ b/cowslipentry/follow.go
@@ -49,8 +49,8 @@
 // copyAge is the age of the copy's last confirmation from which an instance that
 // is no reader asks the store itself.
 func (e *Entry) copyAge() time.Duration {
-	if e.o.CopyAge > 0 {
-		return e.o.CopyAge
+	if a := e.tuned().CopyAge; a > 0 {
+		return a
 	}
 	return defaultCopyAge
 }
@@ -272,7 +272,7 @@
 		return
 	}
 	values := e.mirror.Values()
-	b, problems := e.o.Facts.Decode(values)
+	b, problems := e.tuned().Facts.Decode(values)
 	for _, p := range problems {
 		e.log.Warn("value of the store left out", "error", p)
 	}
--- a/entrycommand.go
+++ b/entrycommand.go
@@ -1,14 +1,11 @@
 package main
 
 import (
-	"context"
 	"crypto/tls"
 	"log"
 	"log/slog"
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"cowslipflow/cowslipentry"
@@ -41,7 +38,8 @@
 	NoAdmission   bool          `long:"baseline-no-admission" description:"for measurements: refuse no query for load"`
 	OperatorsKey  string        `long:"operators-key" env:"COWSLIPFLOW_OPERATORS_KEY" description:"file of its key"`
 
-	output *cowsliplog.Writer // of the log on the platform
+	output   *cowsliplog.Writer // of the log on the platform
+	settings platform.Settings  // of the platform, as read last
 }
 
 const (
@@ -65,33 +63,12 @@
 	ctx, cancel := signalled()
 	defer cancel()
 	if c.NodeFile != "" {
-		go c.watchNodeFile(ctx)
+		go c.watchNodeFile(ctx, e)
 		defer c.output.Flush(logFlush)
 	}
 	return e.Run(ctx)
 }
 
-// watchNodeFile checks the settings file anew on SIGHUP. Addresses hold for the
-// life of a process; a file that changes them, or that is wrong, is reported and
-// takes effect at the next start.
-func (c *entryCommand) watchNodeFile(ctx context.Context) {
-	h := make(chan os.Signal, 1)
-	signal.Notify(h, syscall.SIGHUP)
-	defer signal.Stop(h)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-h:
-		}
-		if _, err := platform.ReadSettings(c.NodeFile); err != nil {
-			slog.Error("settings file rejected; the settings in force stay", "error", err)
-			continue
-		}
-		slog.Info("settings file read again")
-	}
-}
-
 func (c *entryCommand) platformOptions() (cowslipentry.Options, error) {
 	s, err := platform.ReadSettings(c.NodeFile)
 	if err != nil {
@@ -101,6 +78,7 @@
 	l := slog.New(cowsliplog.NewBudget(slog.NewJSONHandler(c.output, &slog.HandlerOptions{Level: slog.LevelInfo}), logBudget))
 	slog.SetDefault(l)
 	log.SetOutput(libraryLog{l})
+	c.settings = s
 	return platform.NewOptions(s, l)
 }
 
