Let the product derive its figures from the platform's bounds

platform/ held shares of bounds (age of copies, grace of removed targets, part of the retry share, the balancer's wait) that are decisions of the product, and cowslipentry repeated seven bounds field by field. The bounds are now a type of cowslipentry, which platform/ only fills in; cowslipcontrol has its part of them as one type, too.

--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -38,6 +38,14 @@
 	// their incarnation, none is asked for a report, and the configuration in
 	// force is obeyed for as long as no newer one is known.
 	Listed bool
+	Bounds
+
+	// Event receives what belongs on the time line; ignored if nil.
+	Event func(kind, subject, detail string)
+}
+
+// Bounds are the options that may change while the process runs.
+type Bounds struct {
 	// RemovalGrace is how long a listed target still serves after it has left
 	// the list, for entries that lapse with the platform and come back.
 	RemovalGrace time.Duration
@@ -51,24 +59,11 @@
 	// all instances. Both 0 set no bound.
 	ExposeShare float64
 	ExposeSlack int
-
-	// Event receives what belongs on the time line; ignored if nil.
-	Event func(kind, subject, detail string)
-}
-
-// Bounds are the options that may change while the process runs.
-type Bounds struct {
-	RemovalGrace time.Duration
-	RetrySlack   int
-	RetryWindow  time.Duration
-	ExposeShare  float64
-	ExposeSlack  int
 }
 
 // SetBounds takes up other bounds.
 func (c *Control) SetBounds(b Bounds) {
-	c.o.RemovalGrace, c.o.RetrySlack, c.o.RetryWindow = b.RemovalGrace, b.RetrySlack, b.RetryWindow
-	c.o.ExposeShare, c.o.ExposeSlack = b.ExposeShare, b.ExposeSlack
+	c.o.Bounds = b
 	c.limitsDirty = true
 }
 
--- a/cowslipcontrol/domain_test.go
+++ b/cowslipcontrol/domain_test.go
@@ -67,7 +67,7 @@
 // newListed places the replicas of shard n in domains[n].
 func newListed(t *testing.T, domains ...[]string) *listed {
 	x := &listed{now: time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)}
-	x.Control = cowslipcontrol.New(cowslipcontrol.Options{ID: "e1", FailureDomain: "cerro", Listed: true, RemovalGrace: time.Second, Event: func(kind, _, _ string) { x.log = append(x.log, kind) }}, x.now)
+	x.Control = cowslipcontrol.New(cowslipcontrol.Options{ID: "e1", FailureDomain: "cerro", Listed: true, Bounds: cowslipcontrol.Bounds{RemovalGrace: time.Second}, Event: func(kind, _, _ string) { x.log = append(x.log, kind) }}, x.now)
 	require.True(t, x.Offer(cowslipcontrol.Accepted{Revision: 1, Text: listedText}, "test"))
 	x.Listed(x.now, instances(domains...))
 	x.tick(50 * time.Millisecond)
--- a/cowslipcontrol/judge_test.go
+++ b/cowslipcontrol/judge_test.go
@@ -47,7 +47,7 @@
 		l = append(l, cowslipcontrol.Member{ID: fmt.Sprint("e", i), FailureDomain: "cerro", Addr: fmt.Sprint("e", i)})
 	}
 	for _, m := range l {
-		c := cowslipcontrol.New(cowslipcontrol.Options{ID: m.ID, FailureDomain: "cerro", Addr: m.Addr, Listed: true, ExposeShare: 0.1, ExposeSlack: 50}, x.now.Add(-time.Minute))
+		c := cowslipcontrol.New(cowslipcontrol.Options{ID: m.ID, FailureDomain: "cerro", Addr: m.Addr, Listed: true, Bounds: cowslipcontrol.Bounds{ExposeShare: 0.1, ExposeSlack: 50}}, x.now.Add(-time.Minute))
 		c.Members(x.now, l)
 		c.Tick(x.now)
 		require.True(t, c.Offer(cowslipcontrol.Accepted{Revision: 1, Text: judgedText}, "test"))
--- a/cowslipcontrol/relay_test.go
+++ b/cowslipcontrol/relay_test.go
@@ -14,7 +14,7 @@
 // ofCapacities makes an instance among members of given capacities, that know each other
 // by ID. It is the first one.
 func ofCapacities(now time.Time, capacities ...float64) *cowslipcontrol.Control {
-	c := cowslipcontrol.New(cowslipcontrol.Options{ID: "e0", FailureDomain: "cerro", Capacity: capacities[0], Listed: true, RetrySlack: 100, RetryWindow: 10 * time.Second}, now)
+	c := cowslipcontrol.New(cowslipcontrol.Options{ID: "e0", FailureDomain: "cerro", Capacity: capacities[0], Listed: true, Bounds: cowslipcontrol.Bounds{RetrySlack: 100, RetryWindow: 10 * time.Second}}, now)
 	var l []cowslipcontrol.Member
 	for i, x := range capacities {
 		l = append(l, cowslipcontrol.Member{ID: fmt.Sprint("e", i), FailureDomain: "cerro", Addr: fmt.Sprint("e", i), Capacity: x})
@@ -79,7 +79,7 @@
 	for _, sizes := range [][]float64{{0.4, 0.4, 0.4, 0.4, 0.4, 0.4, 0.4, 0.4}, {0.8, 0.8, 0.2, 0.2, 0.2, 0.2, 0.2, 0.2}} {
 		spent := 0
 		for own := range sizes {
-			o := cowslipcontrol.Options{ID: fmt.Sprint("e", own), FailureDomain: "cerro", Capacity: sizes[own], Listed: true, RetrySlack: slack, RetryWindow: 10 * time.Second}
+			o := cowslipcontrol.Options{ID: fmt.Sprint("e", own), FailureDomain: "cerro", Capacity: sizes[own], Listed: true, Bounds: cowslipcontrol.Bounds{RetrySlack: slack, RetryWindow: 10 * time.Second}}
 			x := cowslipcontrol.New(o, now)
 			var l []cowslipcontrol.Member
 			for i, n := range sizes {
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -50,7 +50,7 @@
 	Advertise      string       // where peers reach Peers; its own address if empty
 	Store          *cowslipplatform.Store
 	Seeds          []string      // peers' addresses to try before the platform names any
-	DrainWait      time.Duration // time for the balancer to notice a shutdown, 2 s if 0
+	DrainWait      time.Duration // time for the balancer to notice a shutdown, by Bounds if 0
 	ClaimRate      float64       // keyed requests a second, 40 if 0
 	Token          string        // that operators' calls must bear; none if empty
 	CallersTLS     *tls.Config
@@ -64,16 +64,10 @@
 	// interfaces: callers come through the edge, targets and the operators' text
 	// are read from the store's keys, and requests are forwarded as they are.
 	// All three are set, or none.
-	Edge         func(*Entry) (Edge, error)
-	Facts        Facts
-	Wire         Wire
-	Grace        time.Duration // between a stop's signal and its end, no bound if 0
-	RemovalGrace time.Duration // that a target serves after it has left the list
-	RetrySlack   int           // see cowslipcontrol.Options
-	RetryWindow  time.Duration // see cowslipcontrol.Options
-	CopyAge      time.Duration // from which a copy of the store is old, 2 s if 0
-	ExposeShare  float64       // see cowslipcontrol.Options
-	ExposeSlack  int           // see cowslipcontrol.Options
+	Edge   func(*Entry) (Edge, error)
+	Facts  Facts
+	Wire   Wire
+	Bounds Bounds
 
 	// Dial opens connections to targets and other entry instances; the
 	// network's own dialer if nil.
@@ -124,8 +118,8 @@
 	relays    atomic.Int64 // requests that are served for other instances
 	storeLost atomic.Bool
 	lag       lag
-	tuning    atomic.Pointer[Options] // with the bounds read last, nil until they are read again
-	isolated  atomic.Int64            // since when, in nanoseconds since 1970; 0 while it is not
+	tuning    atomic.Pointer[tuning] // nil until Retune
+	isolated  atomic.Int64           // since when, in nanoseconds since 1970; 0 while it is not
 }
 
 // New makes an entry instance.
@@ -140,7 +134,7 @@
 		o.Advertise = o.Peers.Addr().String()
 	}
 	if o.DrainWait == 0 {
-		o.DrainWait = defaultDrainWait
+		o.DrainWait = o.Bounds.drainWait()
 	}
 	if o.ClaimRate == 0 {
 		o.ClaimRate = defaultClaimRate
@@ -168,7 +162,7 @@
 	e.control = cowslipcontrol.New(cowslipcontrol.Options{
 		ID: o.ID, FailureDomain: o.FailureDomain, Capacity: o.Capacity, Addr: o.Advertise, Incarnation: e.incarnation,
 		NoRamp: o.Baseline.NoRamp, NoPool: o.Baseline.NoPool, NoAdmission: o.Baseline.NoAdmission, RoundRobin: o.Baseline.RoundRobin, Event: e.event,
-		Listed: o.Edge != nil, RemovalGrace: o.RemovalGrace, RetrySlack: o.RetrySlack, RetryWindow: o.RetryWindow, ExposeShare: o.ExposeShare, ExposeSlack: o.ExposeSlack,
+		Listed: o.Edge != nil, Bounds: o.Bounds.control(),
 	}, e.clock.Now())
 	e.metrics.vars.Set("state", expvar.Func(func() any { return e.state() }))
 	e.recorder = &cowsliprecord.Recorder{Entry: o.ID, Store: o.Store, Clock: e.clock, Later: e.runLater}
@@ -295,7 +289,7 @@
 
 // awaitRequests waits for the last request, until the end of the grace is near.
 func (e *Entry) awaitRequests(began time.Time, done <-chan struct{}) {
-	grace := e.tuned().Grace
+	grace := e.tuned().bounds.Grace
 	if grace == 0 {
 		<-done
 		return
--- a/cowslipentry/follow.go
+++ b/cowslipentry/follow.go
@@ -38,8 +38,6 @@
 	// otherShare is the age from which the readers of other failure domains are
 	// asked, too: until then the own one keeps the copy up to date alone.
 	otherShare = 0.6
-	// defaultCopyAge is for instances whose settings give none.
-	defaultCopyAge = 2 * time.Second
 	// storeRetry is the time between calls to a store that does not answer.
 	storeRetry = 400 * time.Millisecond
 	// followSlack is how much later than its wait a peer's answer may come.
@@ -48,12 +46,7 @@
 
 // copyAge is the age of the copy's last confirmation from which an instance that
 // is no reader asks the store itself.
-func (e *Entry) copyAge() time.Duration {
-	if a := e.tuned().CopyAge; a > 0 {
-		return a
-	}
-	return defaultCopyAge
-}
+func (e *Entry) copyAge() time.Duration { return e.tuned().bounds.copyAge() }
 
 func (e *Entry) shareOfAge(share float64) time.Duration {
 	return time.Duration(float64(e.copyAge()) * share)
@@ -272,7 +265,7 @@
 		return
 	}
 	values := e.mirror.Values()
-	b, problems := e.tuned().Facts.Decode(values)
+	b, problems := e.tuned().facts.Decode(values)
 	for _, p := range problems {
 		e.log.Warn("value of the store left out", "error", p)
 	}
--- a/cowslipentry/follow_test.go
+++ b/cowslipentry/follow_test.go
@@ -62,7 +62,7 @@
 // no follower takes its copy for old.
 func TestOldCopiesAreNoticedInTime(t *testing.T) {
 	for _, bound := range []time.Duration{3 * time.Second, 5 * time.Second, 15 * time.Second} {
-		e := &Entry{o: Options{CopyAge: bound * 2 / 3}}
+		e := &Entry{o: Options{Bounds: Bounds{Apply: bound}}}
 		for i := range 100 {
 			e.o.ID = strconv.Itoa(i)
 			noticed := e.takeoverAge() + e.shareOfAge(checkShare) + storeRetry/4
@@ -79,7 +79,7 @@
 // them.
 func TestOtherReadersAreAskedWhenTheOwnOneFails(t *testing.T) {
 	c := clocktesting.NewFakeClock(time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC))
-	e := &Entry{o: Options{CopyAge: 3 * time.Second}, clock: c, mirror: &cowslipmirror.Mirror{}}
+	e := &Entry{o: Options{Bounds: Bounds{Apply: 4500 * time.Millisecond}}, clock: c, mirror: &cowslipmirror.Mirror{}}
 	require.False(t, e.upToDate(), "nothing is known yet")
 	e.mirror.Apply(cowslipmirror.Update{Whole: true, Revision: 1, At: c.Now()})
 	require.True(t, e.upToDate())
--- a/cowslipentry/moves.go
+++ b/cowslipentry/moves.go
@@ -62,7 +62,7 @@
 func (e *Entry) recordMove(ctx context.Context, m cowslipconfig.Move, s MoveState) bool {
 	t, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	k, b := e.tuned().Facts.EncodeMove(m, s)
+	k, b := e.tuned().facts.EncodeMove(m, s)
 	v, _ := e.mirror.Get(k) // a key that does not exist has revision 0
 	if _, err := e.o.Store.Put(t, cowslipplatform.Write{Key: k, Data: b, Expect: v.Revision}); err != nil {
 		e.log.Warn("moveNotRecorded", "move", m.ID(), "state", string(s), "revision", v.Revision, "error", err)
