Do not take an answer of the store that is cut short for all changes

The store gives 500 changes at most in an answer; after all leases had lapsed with it, some 3,000 came back. Traced on a scratch copy: one instance's copy went from revision 856 to 1356 to 1856 in steps of 500, each counted as confirmed just then ("age 0"), so that the next step came only once the copy was old again, 3.3 s later, and readers paused between steps.

Change: an answer of half of what a page holds, or more, may not be all (ErrMore): it does not confirm the copy, and the store is asked again at once.

--- a/cowslipentry/follow.go
+++ b/cowslipentry/follow.go
@@ -67,10 +67,8 @@
 		switch {
 		case !old && !e.sources().Reads:
 			e.sleep(e.life, e.shareOfAge(checkShare))
-		case e.readStore():
-			e.sleep(e.life, e.shareOfAge(storePauseShare))
 		default:
-			e.sleep(e.life, storeRetry)
+			e.sleep(e.life, e.readStore())
 		}
 	}
 }
@@ -154,21 +152,25 @@
 	return l
 }
 
-// readStore brings the copy up to date with the store and tells whether the
-// store answered.
-func (e *Entry) readStore() bool {
+// readStore brings the copy up to date with the store and tells when to ask it
+// again: at once if there may be more.
+func (e *Entry) readStore() time.Duration {
 	u, err := e.askStore()
-	if err != nil {
+	more := errors.Is(err, cowslipplatform.ErrMore)
+	if err != nil && !more {
 		if e.life.Err() == nil && e.storeLost.CompareAndSwap(false, true) {
 			e.event("storeLost", "", err.Error())
 		}
-		return false
+		return storeRetry
 	}
 	if e.storeLost.CompareAndSwap(true, false) {
 		e.event("storeRegained", "", "")
 	}
 	e.applyUpdate(u, "the store")
-	return true
+	if more && u.Revision > u.From {
+		return 0
+	}
+	return e.shareOfAge(storePauseShare)
 }
 
 func (e *Entry) askStore() (cowslipmirror.Update, error) {
@@ -176,8 +178,13 @@
 	r := e.mirror.Revision()
 	if r > 0 {
 		l, to, err := e.o.Store.Changes(e.life, e.o.Facts.Prefix, r, e.shareOfAge(storeWaitShare))
-		if err == nil {
-			return cowslipmirror.Update{From: r, Revision: max(to, r), Changes: l, At: e.clock.Now()}, nil
+		u := cowslipmirror.Update{From: r, Revision: max(to, r), Changes: l}
+		switch {
+		case err == nil:
+			u.At = e.clock.Now()
+			return u, nil
+		case errors.Is(err, cowslipplatform.ErrMore):
+			return u, err
 		}
 		if !errors.Is(err, cowslipplatform.ErrCompacted) {
 			return cowslipmirror.Update{}, err
--- a/cowslipplatform/store.go
+++ b/cowslipplatform/store.go
@@ -20,6 +20,9 @@
 	// ErrCompacted says that the changes asked for are no longer kept: the
 	// keys have to be read anew.
 	ErrCompacted = errors.ConstError("cowslipplatform: history no longer kept")
+	// ErrMore comes with changes that may not be all: they are to be asked for again
+	// after the revision that came with them, and do not confirm a copy.
+	ErrMore = errors.ConstError("cowslipplatform: more changes may follow")
 )
 
 // Value is a key's content. Revision grows with each write of the store and
