Publish a confirmation after the limits that go with it; no cold slots without senders

The confirmation is now published last.

Cause 2: an instance that passes its wide requests on is none of the senders of the gathered services, and coldLimit divided by their number: a crash of the process once a target there counts as cold. TestColdTargetsOfPassedOnRequests panics on the code before.

--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -151,7 +151,7 @@
 // Tick runs all steps at now. It returns the current view and the effects
 // requested since the previous tick.
 func (c *Control) Tick(now time.Time) (*cowsliproute.View, Effects) {
-	c.runFreshness(now)
+	confirmedUntil := c.runFreshness(now)
 	c.runMembership(now)
 	c.runSilenceDetection(now)
 	c.runCutRecovery(now)
@@ -163,6 +163,7 @@
 	c.runLimits(now)
 	c.lastTick = now
 	c.publish()
+	c.publishFreshness(now, confirmedUntil)
 	e := c.effects
 	c.effects = Effects{}
 	return c.view, e
--- a/cowslipcontrol/freshness.go
+++ b/cowslipcontrol/freshness.go
@@ -54,12 +54,12 @@
 	}
 }
 
-// runFreshness sets until when the configuration in force counts as confirmed.
+// runFreshness returns until when the configuration in force counts as confirmed.
 // When the platform is unreachable, recent answers of all known peers confirm it,
 // since an edit can only be accepted through one of them. With Options.ListOnly it
 // stays confirmed. After a process pause, nothing is sent for ResumeQuietPeriod
 // unless a new confirmation arrives.
-func (c *Control) runFreshness(now time.Time) {
+func (c *Control) runFreshness(now time.Time) (confirmedUntil time.Time) {
 	gap := now.Sub(c.lastTick)
 	if gap > ViewTTL {
 		c.o.Event("stoodStill", c.o.ID, gap.Round(time.Millisecond).String())
@@ -75,7 +75,14 @@
 	if c.quietUntil.After(now) && !c.confirmedAt.After(c.quietUntil.Add(-ResumeQuietPeriod)) {
 		valid = now
 	}
-	c.freshness.Set(valid, now.Add(ViewTTL), c.quietUntil)
+	return valid
+}
+
+// publishFreshness makes the confirmation visible to requests. It must follow the steps
+// that set limits and publish the view: a request that has waited for the confirmation
+// may hold an older view, and is sent at once.
+func (c *Control) publishFreshness(now, confirmedUntil time.Time) {
+	c.freshness.Set(confirmedUntil, now.Add(ViewTTL), c.quietUntil)
 	s := c.freshness.Scope(now)
 	if s == c.scope {
 		return
--- a/cowslipcontrol/limits.go
+++ b/cowslipcontrol/limits.go
@@ -161,9 +161,10 @@
 
 // coldLimit returns this instance's part of the requests that a cold target may have
 // in flight. If there are fewer slots than senders, rendezvous hashing selects the
-// instances that may send one.
+// instances that may send one. An instance that is not one of the senders has no part,
+// as the senders use all slots; it then passes no senders.
 func (c *Control) coldLimit(now time.Time, id string, slots int, senders []string) int {
-	if c.leaving {
+	if c.leaving || len(senders) == 0 {
 		return 0
 	}
 	if g := c.startedAt.Add(JoinGrace); now.Before(g) {
--- a/cowslipcontrol/relay_test.go
+++ b/cowslipcontrol/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"regexp"
 	"testing"
 	"time"
 
@@ -128,3 +129,32 @@
 	list("run2")
 	require.Equal(t, 1, relays())
 }
+
+// Scenario: a small instance passes its wide requests on, so it is no sender of the
+// gathered services. When targets of these become cold, here because an edit raises the
+// warm-up time, it must send nothing to them, and the large instance must use the cold
+// slots.
+func TestColdTargetsOfPassedOnRequests(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		capacities []float64
+		limit      int
+	}{
+		{"small instance", []float64{0.2, 0.8}, 0},
+		{"large instance", []float64{0.8, 0.2}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+			x := newWithCapacities(now, c.capacities...)
+			require.True(t, x.Offer(cowslipcontrol.Accepted{Revision: 1, Text: sixShardConfig}, "test"))
+			x.UpdateTargets(now, instances(spreadReplicas...))
+			for end := now.Add(12 * time.Second); now.Before(end); now = now.Add(50 * time.Millisecond) {
+				x.Tick(now)
+			}
+			text := regexp.MustCompile(`(?m)^(kind = .*)$`).ReplaceAllString(sixShardConfig, "$1\nwarmTime = \"60s\"\ncoldSlots = 1")
+			require.True(t, x.Offer(cowslipcontrol.Accepted{Revision: 2, Text: text}, "test"))
+			x.Tick(now)
+			require.Equal(t, c.limit, x.View().Target("s0-cerro").Limit())
+		})
+	}
+}
