Reject a second reply of a peer; trace TestRelayerCancels

Second reply: errors.Annotate of a nil error is nil, so that a stream with two replies counted as success and its connection was kept. TestRelayerRejectsASecondReply was red.

TestRelayerCancels (6 of 60 red): the test's peer never read the message that tells it to begin. drpc delivers in order, so the cancellation waited behind it whenever the caller left after sending that message. The product's peer reads it. The test now has both courses, cancelled while the peer waits to begin and while it serves, each with the same bound of half a second: 200 of 200 green with -race.

--- a/cowslippeer/relay.go
+++ b/cowslippeer/relay.go
@@ -84,7 +84,10 @@
 		}
 	}
 	x.Reply = p
-	if _, err := s.Recv(); !errors.Is(err, io.EOF) {
+	switch _, err := s.Recv(); {
+	case err == nil:
+		return errors.New("second reply in the stream")
+	case !errors.Is(err, io.EOF):
 		return errors.Annotate(err, "stream does not end after the reply")
 	}
 	return s.Close()
--- a/cowslippeer/relay_test.go
+++ b/cowslippeer/relay_test.go
@@ -107,31 +107,86 @@
 	require.False(t, x.Accepted)
 }
 
-// When the caller disconnects, the request is cancelled at the peer that serves it.
-func TestRelayerCancels(t *testing.T) {
-	began, ended := make(chan bool), make(chan bool, 1)
-	a := relayServer(t, func(s cowslipmessage.DRPCPeer_RelayStream) error {
-		if _, err := s.Recv(); err != nil {
-			return err
-		}
-		if err := s.Send(&cowslipmessage.RelayReply{Taken: true}); err != nil {
-			return err
+// A peer that replies twice breaks the protocol: its second reply could be taken for that
+// to the next request on the connection, so the connection is closed.
+func TestRelayerRejectsASecondReply(t *testing.T) {
+	for _, accept := range []bool{true, false} {
+		ended := make(chan error, 1)
+		a := relayServer(t, func(s cowslipmessage.DRPCPeer_RelayStream) error {
+			if _, err := s.Recv(); err != nil {
+				return err
+			}
+			if accept {
+				if err := s.Send(&cowslipmessage.RelayReply{Taken: true}); err != nil {
+					return err
+				}
+				if _, err := s.Recv(); err != nil {
+					return err
+				}
+			}
+			for range 2 {
+				if err := s.Send(&cowslipmessage.RelayReply{Reason: "reply"}); err != nil {
+					return err
+				}
+			}
+			<-s.Context().Done()
+			ended <- s.Context().Err()
+			return nil
+		})
+		var y cowslippeer.Relayer
+		_, err := y.Relay(t.Context(), a, &cowslipmessage.RelayRequest{}, time.Second)
+		require.Error(t, err)
+		select {
+		case <-ended:
+		case <-time.After(10 * time.Second):
+			t.Fatal("the connection is not closed")
 		}
-		close(began)
-		<-s.Context().Done()
-		ended <- true
-		return nil
-	})
-	ctx, cancel := context.WithCancel(t.Context())
-	go func() {
-		<-began
-		cancel()
-	}()
-	_, err := new(cowslippeer.Relayer).Relay(ctx, a, &cowslipmessage.RelayRequest{}, time.Second)
-	require.Error(t, err)
-	select {
-	case <-ended:
-	case <-time.After(500 * time.Millisecond):
-		t.Fatal("the peer still serves the request half a second after the caller has left")
+		y.Close()
+	}
+}
+
+// When the caller disconnects, the request is cancelled at the peer that serves it,
+// whether the peer has been told to begin or not. The peer must have read all messages
+// sent to it: a stream with an unread message hands on no cancellation, since drpc
+// delivers messages in order.
+func TestRelayerCancels(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		afterBegin bool // the caller leaves once the peer has begun, not once it has accepted
+	}{{"while the peer serves the request", true}, {"while the peer waits to begin", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			leave, ended := make(chan bool), make(chan bool, 1)
+			a := relayServer(t, func(s cowslipmessage.DRPCPeer_RelayStream) error {
+				if _, err := s.Recv(); err != nil {
+					return err
+				}
+				if err := s.Send(&cowslipmessage.RelayReply{Taken: true}); err != nil {
+					return err
+				}
+				if !c.afterBegin {
+					close(leave)
+				}
+				if b, err := s.Recv(); err == nil && b.GetBegin() {
+					if c.afterBegin {
+						close(leave)
+					}
+					<-s.Context().Done()
+				}
+				ended <- true
+				return nil
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() {
+				<-leave
+				cancel()
+			}()
+			_, err := new(cowslippeer.Relayer).Relay(ctx, a, &cowslipmessage.RelayRequest{}, time.Second)
+			require.Error(t, err)
+			select {
+			case <-ended:
+			case <-time.After(500 * time.Millisecond):
+				t.Fatal("the peer still serves the request half a second after the caller has left")
+			}
+		})
 	}
 }
