Flush without a stuck writer; a refund within the limit; each sample of the lag

- Writer.Flush that gave up in its second wait left the writing goroutine waiting for the next Flush: no line was written meanwhile (TestLinesAfterAFlushThatGaveUp).

--- a/cowslipentry/lag.go
+++ b/cowslipentry/lag.go
@@ -15,8 +15,12 @@
 
 // observe adds a sample: how late an answer was.
 func (l *lag) observe(d time.Duration) {
-	o := l.nanos.Load()
-	l.nanos.Store(o + (int64(d)-o)/lagSampleDivisor)
+	for {
+		o := l.nanos.Load()
+		if l.nanos.CompareAndSwap(o, o+(int64(d)-o)/lagSampleDivisor) {
+			return
+		}
+	}
 }
 
 // average returns the average lag, or limit if that is less.
--- a/cowsliplog/log_test.go
+++ b/cowsliplog/log_test.go
@@ -1,6 +1,7 @@
 package cowsliplog_test
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -52,6 +53,28 @@
 	require.Equal(t, 10000, seen+dropped, "every line is written or counted")
 }
 
+// A flush that gives up while a write is slow must not keep later lines from being
+// written.
+func TestLinesAfterAFlushThatGaveUp(t *testing.T) {
+	r, w := io.Pipe()
+	x := cowsliplog.NewWriter(w, 0)
+	fmt.Fprintln(x, "slow")
+	x.Flush(time.Millisecond)
+	fmt.Fprintln(x, "later")
+	s := bufio.NewScanner(r)
+	for _, l := range []string{"slow", "later"} {
+		read := make(chan bool)
+		go func() { read <- s.Scan() }()
+		select {
+		case ok := <-read:
+			require.True(t, ok)
+			require.Equal(t, l, s.Text())
+		case <-time.After(10 * time.Second):
+			t.Fatalf("line %q is not written", l)
+		}
+	}
+}
+
 func TestFlush(t *testing.T) {
 	var b bytes.Buffer
 	x := cowsliplog.NewWriter(&b, 0)
--- a/cowsliplog/writer.go
+++ b/cowsliplog/writer.go
@@ -14,8 +14,14 @@
 // NewWriter. It is safe for concurrent use.
 type Writer struct {
 	out     io.Writer
-	lines   chan []byte
+	lines   chan line
 	dropped atomic.Int64
+}
+
+// line is a buffered line. If flushed is set, it is no line, but a mark up to which the
+// lines are written when flushed is closed.
+type line struct {
+	text    []byte
 	flushed chan struct{}
 }
 
@@ -25,7 +31,7 @@
 	if bufferLines <= 0 {
 		bufferLines = defaultBufferLines
 	}
-	w := &Writer{out: out, lines: make(chan []byte, bufferLines), flushed: make(chan struct{})}
+	w := &Writer{out: out, lines: make(chan line, bufferLines)}
 	go w.run()
 	return w
 }
@@ -34,7 +40,7 @@
 // line is dropped and counted.
 func (w *Writer) Write(b []byte) (int, error) {
 	select {
-	case w.lines <- append([]byte(nil), b...):
+	case w.lines <- line{text: append([]byte(nil), b...)}:
 	default:
 		w.dropped.Add(1)
 	}
@@ -48,23 +54,25 @@
 // buffer stays full for the timeout, or if the writes then take longer than the
 // timeout.
 func (w *Writer) Flush(timeout time.Duration) {
+	m := line{flushed: make(chan struct{})}
 	select {
-	case w.lines <- nil:
+	case w.lines <- m:
 	case <-time.After(timeout):
 		return
 	}
 	select {
-	case <-w.flushed:
+	case <-m.flushed:
 	case <-time.After(timeout):
 	}
 }
 
 func (w *Writer) run() {
-	for b := range w.lines {
-		if b == nil {
-			w.flushed <- struct{}{}
+	for l := range w.lines {
+		if l.flushed != nil {
+			close(l.flushed)
 			continue
 		}
+		b := l.text
 		if n := w.dropped.Swap(0); n > 0 {
 			b = append(b, fmt.Sprintf("{\"level\":\"WARN\",\"msg\":\"logLinesDropped\",\"count\":%d,\"reason\":\"buffer full\"}\n", n)...)
 		}
--- a/cowsliproute/budget.go
+++ b/cowsliproute/budget.go
@@ -69,9 +69,10 @@
 // because of rounding.
 const roundingSlack = 1e-9
 
-// Refund gives the budget back a retry or hedge that was not sent.
+// Refund gives the budget back a retry or hedge that was not sent, up to what may
+// accumulate.
 func (b *Budget) Refund() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens++
+	b.tokens = min(b.tokens+1, b.limit())
 }
