Send a probe again that crashed nothing; count every shed request

- With ProbeFirst, a probe that was refused or failed was never sent again, and the query waited for its close with nothing in flight.
- Dispatch.Shed left out requests whose part was answered elsewhere or could not be sent again, and the limiter read the sum 0 as an answer without overload (TestAllShedRequestsCount, red).

--- a/cowslipquery/dispatch.go
+++ b/cowslipquery/dispatch.go
@@ -99,6 +99,9 @@
 	if d.closed {
 		return nil
 	}
+	if o == cowsliptarget.Shed || o == cowsliptarget.Expired {
+		d.shed++
+	}
 	p := &d.parts[a.part]
 	p.inFlight--
 	d.crashed = d.crashed || crashed
@@ -162,9 +165,8 @@
 // Sent returns the number of requests sent.
 func (d *Dispatch) Sent() int { return d.sent }
 
-// Shed returns the number of requests that a target shed or let expire. It leaves out
-// those whose part was already answered, had another request in flight or could not
-// be retried.
+// Shed returns the number of requests that a target shed or let expire, up to the time
+// at which the answer closed.
 func (d *Dispatch) Shed() int { return d.shed }
 
 // DeniedHedges counts how often a hedge was due but could not be sent, by cause.
@@ -199,7 +201,7 @@
 	open, done := 0, 0
 	for i := range d.parts {
 		p := &d.parts[i]
-		if p.waiting && !p.settled() && !now.Before(p.shedRetryAt) && !(d.options.ProbeFirst && !d.answered && (i > 0 || p.sends > 0)) {
+		if p.waiting && !p.settled() && !now.Before(p.shedRetryAt) && !(d.options.ProbeFirst && !d.answered && i > 0) {
 			d.send(now, i, false)
 		}
 		if !p.settled() {
@@ -315,7 +317,7 @@
 		return
 	}
 	p.wrongVersion = p.wrongVersion || o == cowsliptarget.WrongVersion
-	if d.crashed && !o.NotRun() || d.options.AtMostOnce && !o.NotRun() {
+	if !o.NotRun() && (d.crashed || d.options.AtMostOnce || d.probeMayHaveCrashed(o)) {
 		p.missing = true
 		return
 	}
@@ -330,8 +332,13 @@
 	p.waiting = true
 }
 
-// retryIsFree reports whether a retry after this outcome costs no retry budget. It
-// also counts the request for Shed if the target shed it or let it expire.
+// probeMayHaveCrashed reports whether an outcome of the request that ProbeFirst sends
+// first leaves open that the request crashed the target. Another one is then spared.
+func (d *Dispatch) probeMayHaveCrashed(o cowsliptarget.Outcome) bool {
+	return d.options.ProbeFirst && !d.answered && o != cowsliptarget.Failed
+}
+
+// retryIsFree reports whether a retry after this outcome costs no retry budget.
 func (d *Dispatch) retryIsFree(a attempt, o cowsliptarget.Outcome) bool {
 	// Only a few requests prefer a version that is not proven yet. A retry after an
 	// attempt at it costs no budget, so that a bad new version does not leave a part
@@ -340,8 +347,6 @@
 	switch o {
 	case cowsliptarget.NotSent, cowsliptarget.Leaving, cowsliptarget.WrongVersion, cowsliptarget.Restarted:
 		free = true
-	case cowsliptarget.Shed, cowsliptarget.Expired:
-		d.shed++
 	}
 	return free
 }
--- a/cowslipquery/dispatch_test.go
+++ b/cowslipquery/dispatch_test.go
@@ -199,6 +199,65 @@
 	require.Equal(t, 25*ms, x.now.Sub(t0))
 }
 
+// A request that has crashed a target before is sent to a single target first. If that one
+// refuses it or fails without a crash, another one is asked at once; if it may have
+// crashed, the answer closes at once and spares the others.
+func TestProbeFirst(t *testing.T) {
+	for _, c := range []struct {
+		first cowsliptarget.Outcome
+		sent  int
+		took  time.Duration
+	}{
+		{cowsliptarget.OK, 3, 6 * ms},
+		{cowsliptarget.NotSent, 4, 7 * ms},
+		{cowsliptarget.Shed, 4, 7 * ms},
+		{cowsliptarget.Leaving, 4, 7 * ms},
+		{cowsliptarget.Failed, 4, 7 * ms},
+		{cowsliptarget.Lost, 1, 1 * ms},
+		{cowsliptarget.Corrupt, 1, 1 * ms},
+	} {
+		t.Run(c.first.String(), func(t *testing.T) {
+			most := 0
+			var x *dispatchHarness
+			x = newDispatchHarness(t, 3, 5, func(n int, _ cowslipquery.DispatchAction) targetReply {
+				most = max(most, len(x.pending)+1)
+				switch {
+				case n == 0:
+					return targetReply{after: ms, outcome: c.first}
+				case n == 1 && c.sent == 4:
+					require.Empty(t, x.pending, "one request at a time until one is answered")
+					return targetReply{after: ms}
+				}
+				return targetReply{after: 5 * ms}
+			}, func(o *cowslipquery.DispatchOptions) { o.ProbeFirst = true })
+			x.run()
+			require.Len(t, x.sent, c.sent)
+			require.Equal(t, c.took, x.now.Sub(t0))
+		})
+	}
+}
+
+// The count of shed requests tells the limiter about overload, so that it must hold also
+// those whose part another replica answered or that could not be sent again.
+func TestAllShedRequestsCount(t *testing.T) {
+	shed := targetReply{after: 25 * ms, outcome: cowsliptarget.Shed}
+	for _, c := range []struct {
+		name    string
+		replies []targetReply
+		change  func(*cowslipquery.DispatchOptions)
+		shed    int
+	}{
+		{"no retry is left", []targetReply{shed}, func(o *cowslipquery.DispatchOptions) { o.AtMostOnce = true; o.Parts[0].Replicas = o.Parts[0].Replicas[:1] }, 1},
+		{"another request is in flight", []targetReply{shed, {after: 15 * ms}}, func(*cowslipquery.DispatchOptions) {}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newDispatchHarness(t, 1, 5, func(n int, _ cowslipquery.DispatchAction) targetReply { return c.replies[n] }, c.change)
+			x.run()
+			require.Equal(t, c.shed, x.dispatch.Shed())
+		})
+	}
+}
+
 func TestMergeTop(t *testing.T) {
 	r := func(s string) string { return fmt.Sprintf("%-16s", s) }
 	for _, c := range []struct {
--- a/cowslipquery/dispatchoptions.go
+++ b/cowslipquery/dispatchoptions.go
@@ -31,7 +31,7 @@
 	MaxAttempts     int           // limit of the attempts at a part, except those known not to have run; 0 means defaultMaxAttempts
 	AtMostOnce      bool          // the request may run at most once: no hedges, and no retry after an attempt that may have run
 	PreferOwnDomain bool          // prefer targets of this instance's failure domain if they are about as good as others
-	ProbeFirst      bool          // send a single request first; all others, retries too, follow only after it is answered
+	ProbeFirst      bool          // send one request at a time, for the first part, until it is answered; only then the others. It is sent again only if it crashed no target for certain
 	Answered        bool          // a target already answered this request in an earlier Dispatch
 	Crashed         bool          // a target already crashed on this request in an earlier Dispatch
 	MaxHedges       int           // how many parts may be hedged; 0 means all. If many parts are late at once, more requests would delay them further
--- a/cowslipquery/query.go
+++ b/cowslipquery/query.go
@@ -29,7 +29,7 @@
 	Start       time.Time
 	Deadline    time.Duration
 	Versions    cowsliproute.VersionPreference
-	ProbeFirst  bool // send a single request first; all others, retries too, follow only after it is answered
+	ProbeFirst  bool // as in DispatchOptions
 	NoHedge     bool // disable hedging, as a baseline for measurements
 	AcceptStale bool // answer from this view, even if it no longer fits what the targets hold
 	Rand        *rand.Rand
