Count the evidence of a peer that returns once

A peer that was dropped after a silence and came back as the same process sent its cumulative counters again, beside those that were preserved when it was dropped: each request counted twice in the judgement of a move. Preserved counters are now kept by incarnation, and those of one that returns are continued. They are dropped with their move.

--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -102,7 +102,7 @@
 	recordedMoves    map[string]bool // moves whose start is recorded on the platform, by ID
 	stops            map[string]*cowslipmessage.Stop
 
-	departedCounts map[evidenceKey]counts // evidence received from peers that are gone and from previous incarnations of peers
+	departedCounts map[string]map[evidenceKey]counts // evidence received from peers that are gone and from previous incarnations of peers, by incarnation
 
 	seq             uint64
 	limitsDue       time.Time
@@ -140,7 +140,7 @@
 		targetIndex: map[string]int{}, targetByAddr: map[string]*cowsliproute.Target{}, services: map[string]*service{},
 		domains:  map[string]*domainState{},
 		outcomes: map[string]*cowslipmessage.Outcome{}, recordedMoves: map[string]bool{}, stops: map[string]*cowslipmessage.Stop{},
-		serviceDirty: map[string]bool{}, targetsDirty: map[string]bool{}, clearedSuspects: map[uint64]time.Time{}, departedCounts: map[evidenceKey]counts{}, viewDirty: true, limitsDirty: true,
+		serviceDirty: map[string]bool{}, targetsDirty: map[string]bool{}, clearedSuspects: map[uint64]time.Time{}, departedCounts: map[string]map[evidenceKey]counts{}, viewDirty: true, limitsDirty: true,
 	}
 	return c
 }
--- a/cowslipcontrol/evidence.go
+++ b/cowslipcontrol/evidence.go
@@ -153,19 +153,21 @@
 			}
 		}
 	}
-	add(c.departedCounts)
+	for _, l := range c.departedCounts {
+		add(l)
+	}
 	for i := range c.peers {
 		add(c.peers[i].evidence)
 	}
 	return p
 }
 
-// retire preserves the evidence of a peer that is gone or has restarted.
-func (c *Control) retire(p *peer) {
-	for k, x := range p.evidence {
-		c.departedCounts[k] = c.departedCounts[k].plus(x)
+// retire preserves the evidence of an incarnation of a peer that is gone.
+func (c *Control) retire(p *peer, incarnation string) {
+	if len(p.evidence) > 0 {
+		c.departedCounts[incarnation] = p.evidence
 	}
-	clear(p.evidence)
+	p.evidence = map[evidenceKey]counts{}
 }
 
 // poolEvidence takes a snapshot of the pooled evidence once per snapshotInterval
@@ -270,7 +272,13 @@
 	return ""
 }
 
+// mergeEvidence replaces the evidence of a peer. If the same incarnation was thought to be
+// gone, its counters continue those that were preserved.
 func (c *Control) mergeEvidence(p *peer, l []*cowslipmessage.Evidence) {
+	if x, ok := c.departedCounts[p.incarnation]; ok {
+		maps.Copy(p.evidence, x)
+		delete(c.departedCounts, p.incarnation)
+	}
 	for _, e := range l {
 		k := evidenceKey{e.GetMove(), e.GetVersion(), e.GetRoute(), e.GetFailureDomain()}
 		x := counts{requests: e.GetRequests(), errors: e.GetErrors()}
--- a/cowslipcontrol/exchange.go
+++ b/cowslipcontrol/exchange.go
@@ -115,9 +115,9 @@
 
 func (c *Control) updatePeer(now time.Time, p *peer, s *cowslipmessage.State) {
 	if p.incarnation != s.GetIncarnation() {
+		c.retire(p, p.incarnation)
 		p.incarnation = s.GetIncarnation()
 		p.haveSeq, p.ackSeq = 0, 0
-		c.retire(p)
 		c.limitsDirty = true
 	}
 	if p.gone() || p.leaving != s.GetLeaving() {
--- a/cowslipcontrol/membership.go
+++ b/cowslipcontrol/membership.go
@@ -269,7 +269,7 @@
 		}
 		forget := !p.listed && now.Sub(last) > away
 		if forget {
-			c.retire(&p)
+			c.retire(&p, p.incarnation)
 		}
 		return forget
 	})
--- a/cowslipcontrol/move.go
+++ b/cowslipcontrol/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"time"
 
@@ -44,13 +45,19 @@
 }
 
 // applyMoves updates the table of moves to match the configuration. A move that
-// is still configured keeps its row.
+// is still configured keeps its row, and the evidence of departed peers.
 func (c *Control) applyMoves() {
 	var n []move
+	configured := map[string]bool{}
 	for _, m := range c.config.Moves() {
 		n = append(n, c.existingOrNewMove(m))
+		configured[m.ID()] = true
 	}
 	c.moves = n
+	maps.DeleteFunc(c.departedCounts, func(_ string, l map[evidenceKey]counts) bool {
+		maps.DeleteFunc(l, func(k evidenceKey, _ counts) bool { return !configured[k.move] })
+		return len(l) == 0
+	})
 }
 
 func (c *Control) existingOrNewMove(m cowslipconfig.Move) move {
--- a/cowslipcontrol/move_test.go
+++ b/cowslipcontrol/move_test.go
@@ -47,7 +47,7 @@
 
 	total, newRequests, newInFlight int
 	newBadAnswers                   int
-	faultShownAt                    time.Time // set at the new version's third bad answer if that is a failure, and at its tenth
+	faultShownAt                    time.Time // set at the new version's third bad answer if that is a failure, otherwise at its tenth
 	newAfterFault                   int
 	overCanaryBound                 int      // requests above the bound for a version without evidence
 	recentVersions                  []string // versions of the last requests
@@ -170,7 +170,7 @@
 			if q.outcome != cowsliptarget.OK || q.latency > 2*normalLatency {
 				m.newBadAnswers++
 			}
-			if m.newBadAnswers == 3 && q.outcome != cowsliptarget.OK || m.newBadAnswers == 10 {
+			if m.faultShownAt.IsZero() && (m.newBadAnswers == 3 && q.outcome != cowsliptarget.OK || m.newBadAnswers == 10) {
 				m.faultShownAt = m.now
 			}
 		}
