--- a/cowslipstandin/changes.go
+++ b/cowslipstandin/changes.go
@@ -20,6 +20,10 @@
 func (p *Platform) Compact() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.discardHistory()
+}
+
+func (p *Platform) discardHistory() {
 	p.compactedRevision = p.revision
 	p.changes = nil
 }
@@ -40,7 +44,7 @@
 			return nil, 0, err
 		}
 		p.record.Watches++
-		l, at, compacted, c := p.changesSince(prefix, after), p.revision, after < p.compactedRevision, p.changed
+		l, at, compacted, c, e := p.changesSince(prefix, after), p.revision, after < p.compactedRevision, p.changed, p.nextExpiry()
 		p.mu.Unlock()
 		if compacted {
 			return nil, 0, cowslipplatform.ErrCompacted
@@ -50,6 +54,7 @@
 		}
 		select {
 		case <-c:
+		case <-e:
 		case <-ctx.Done():
 			return nil, 0, ErrDown
 		case <-t:
--- a/cowslipstandin/platform.go
+++ b/cowslipstandin/platform.go
@@ -104,7 +104,8 @@
 	return b
 }
 
-// Restore replaces the values by those of a backup, as after a loss of data.
+// Restore replaces the values by those of a backup, as after a loss of data. The history
+// of changes is discarded, too.
 func (p *Platform) Restore(b map[string]cowslipplatform.Value) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -112,6 +113,8 @@
 	for k, v := range b {
 		p.values[k] = storedValue{Value: v}
 	}
+	p.revision++
+	p.discardHistory()
 	p.notifyWatchers()
 }
 
@@ -191,8 +194,11 @@
 	return nil
 }
 
+// expire removes the leases and values whose time is over, and wakes the watchers if there
+// are any.
 func (p *Platform) expire() {
 	n := p.clock.Now()
+	before := p.revision
 	for id, l := range p.leases {
 		if n.After(l.expires) {
 			p.endLease(id)
@@ -203,6 +209,30 @@
 			p.deleteKey(k)
 		}
 	}
+	if p.revision != before {
+		p.notifyWatchers()
+	}
+}
+
+// nextExpiry returns a channel that receives just after the next lease or value expires,
+// nil if none does.
+func (p *Platform) nextExpiry() <-chan time.Time {
+	var first time.Time
+	consider := func(t time.Time) {
+		if !t.IsZero() && (first.IsZero() || t.Before(first)) {
+			first = t
+		}
+	}
+	for _, l := range p.leases {
+		consider(l.expires)
+	}
+	for _, v := range p.values {
+		consider(v.expires)
+	}
+	if first.IsZero() {
+		return nil
+	}
+	return p.clock.After(first.Sub(p.clock.Now()) + time.Nanosecond)
 }
 
 func (p *Platform) endLease(id uint64) {
@@ -294,7 +324,7 @@
 			return cowslipplatform.Value{}, err
 		}
 		v, ok := p.values[key]
-		c := p.changed
+		c, e := p.changed, p.nextExpiry()
 		p.record.Watches++
 		p.mu.Unlock()
 		if ok && v.Revision != after {
@@ -302,6 +332,7 @@
 		}
 		select {
 		case <-c:
+		case <-e:
 		case <-ctx.Done():
 			return cowslipplatform.Value{}, ErrDown
 		case <-t:
--- a/cowslipstandin/target.go
+++ b/cowslipstandin/target.go
@@ -310,6 +310,12 @@
 	case <-ctx.Done():
 	}
 	t.mu.Lock()
+	n := t.incarnation
+	if t.slots != slots {
+		// The target has restarted, so that its counters do not hold this request.
+		t.mu.Unlock()
+		return false
+	}
 	t.queued--
 	if got {
 		t.running++
@@ -321,7 +327,9 @@
 	}
 	ok := sleep(ctx, d)
 	t.mu.Lock()
-	t.running--
+	if t.incarnation == n {
+		t.running--
+	}
 	t.mu.Unlock()
 	<-slots
 	return ok && sleep(ctx, t.options.NetworkDelay)
