Await what has changed since the first listing before an instance is ready

After a restart, an instance reads a listing that may be seconds old (such a call costs a tenth), took it for confirmed, and was ready with targets that had left and routes that were withdrawn. The first listing no longer confirms the mirror; a reader asks for the changes since at once, a follower hears them from its reader, and the instance is ready once one of them has answered, or after 500 ms if nobody does.

--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -116,6 +116,7 @@
 	leaseID      atomic.Uint64
 
 	mirror        *cowslipmirror.Mirror
+	firstMirrored atomic.Pointer[time.Time] // when the mirror first had content
 	applyMu       sync.Mutex // held while an update is applied to the mirror and the control state
 	buffers       *cowsliptarget.Buffers
 	forwarder     *cowsliptarget.Forwarder
@@ -325,7 +326,11 @@
 	e.log.Info(kind, "subject", subject, "detail", detail)
 }
 
+// sleep waits for d and reports whether ctx was still active at the end.
 func (e *Entry) sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	select {
 	case <-ctx.Done():
 		return false
--- a/cowslipentry/follow.go
+++ b/cowslipentry/follow.go
@@ -46,6 +46,13 @@
 	// storeRetryInterval is the time between calls to a store or peer that does not
 	// answer.
 	storeRetryInterval = 400 * time.Millisecond
+	// unconfirmedRetryInterval replaces storeRetryInterval while an instance that has
+	// just started waits for its mirror to be confirmed.
+	unconfirmedRetryInterval = 100 * time.Millisecond
+	// confirmationWait limits how long an instance that has just started is not ready
+	// because its mirror is not confirmed. When it is over, old content is better than
+	// none.
+	confirmationWait = 500 * time.Millisecond
 	// followTimeoutMargin is the time that a peer has to answer after the wait of a
 	// long poll has elapsed.
 	followTimeoutMargin = 500 * time.Millisecond
@@ -70,7 +77,8 @@
 // its failure domain, or its mirror is empty or older than takeoverAge.
 func (e *Entry) storeLoop() {
 	for e.ctx.Err() == nil {
-		old := e.mirror.Revision() == 0 || e.clock.Since(e.mirror.ConfirmedAt()) > e.takeoverAge()
+		known := later(e.mirror.ConfirmedAt(), e.mirroredAt())
+		old := e.mirror.Revision() == 0 || e.clock.Since(known) > e.takeoverAge()
 		switch {
 		case !old && !e.storeSources().ReadsStore:
 			e.sleep(e.ctx, e.shareOfStaleAge(ageCheckShare))
@@ -138,13 +146,50 @@
 		}
 		switch {
 		case m.Addr == "" || !e.followPeer(clients[m.Addr], m, wait):
-			e.sleep(e.ctx, storeRetryInterval)
+			e.sleep(e.ctx, e.followRetryInterval())
 		case wait == 0:
 			e.sleep(e.ctx, e.shareOfStaleAge(followWaitShare))
 		}
 	}
 }
 
+// isMirrorConfirmed reports whether the store is known to have confirmed the content of
+// the mirror at some time since this instance started. A first listing may be seconds
+// old: it may have targets that have left since, and routes that were withdrawn.
+func (e *Entry) isMirrorConfirmed() bool { return !e.mirror.ConfirmedAt().IsZero() }
+
+// mirroredAt returns when the mirror first had content, the zero time if it has none.
+func (e *Entry) mirroredAt() time.Time {
+	if t := e.firstMirrored.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
+// isMirrorUsable reports whether callers may be served from the mirror at now: it is
+// confirmed, or confirmationWait is over.
+func (e *Entry) isMirrorUsable(now time.Time) bool {
+	if e.isMirrorConfirmed() {
+		return true
+	}
+	t := e.mirroredAt()
+	return !t.IsZero() && now.Sub(t) >= confirmationWait
+}
+
+func (e *Entry) followRetryInterval() time.Duration {
+	if e.isMirrorConfirmed() {
+		return storeRetryInterval
+	}
+	return unconfirmedRetryInterval
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func (e *Entry) storeSources() cowslipcontrol.Sources {
 	var s cowslipcontrol.Sources
 	e.do(func(_ time.Time, c *cowslipcontrol.Control) { s = c.Sources() })
@@ -176,7 +221,10 @@
 		e.event("storeRegained", "", "")
 	}
 	e.applyUpdate(u, "the store")
-	if more && u.Revision > u.From {
+	switch {
+	case more && u.Revision > u.From:
+		return 0
+	case !e.isMirrorConfirmed() && e.storeSources().ReadsStore:
 		return 0
 	}
 	return e.shareOfStaleAge(storeIntervalShare)
@@ -186,7 +234,11 @@
 	e.metrics.storeCalls.Add(1)
 	r := e.mirror.Revision()
 	if r > 0 {
-		l, to, err := e.opts.Store.Changes(e.ctx, e.opts.StoreCodec.Prefix, r, e.shareOfStaleAge(storeWaitShare))
+		wait := e.shareOfStaleAge(storeWaitShare)
+		if !e.isMirrorConfirmed() {
+			wait = 0
+		}
+		l, to, err := e.opts.Store.Changes(e.ctx, e.opts.StoreCodec.Prefix, r, wait)
 		u := cowslipmirror.Update{From: r, Revision: max(to, r), Changes: l}
 		switch {
 		case err == nil:
@@ -200,11 +252,16 @@
 		}
 		e.event("historyLost", "", "reading all keys again")
 	}
-	l, err := e.opts.Store.Scan(e.ctx, e.opts.StoreCodec.Prefix, r == 0)
+	// The first listing may be stale, as such a call costs a tenth. It confirms nothing.
+	stale := r == 0
+	l, err := e.opts.Store.Scan(e.ctx, e.opts.StoreCodec.Prefix, stale)
 	if err != nil {
 		return cowslipmirror.Update{}, err
 	}
-	u := cowslipmirror.Update{Full: true, Revision: l.Revision, ConfirmedAt: e.clock.Now()}
+	u := cowslipmirror.Update{Full: true, Revision: l.Revision}
+	if !stale {
+		u.ConfirmedAt = e.clock.Now()
+	}
 	for _, v := range l.Values {
 		u.Changes = append(u.Changes, cowslipplatform.Change{Value: v})
 	}
@@ -283,6 +340,10 @@
 	if !e.mirror.Apply(u) {
 		return
 	}
+	if e.firstMirrored.Load() == nil {
+		now := e.clock.Now()
+		e.firstMirrored.Store(&now)
+	}
 	values := e.mirror.Values()
 	b, problems := e.currentSettings().storeCodec.Decode(values)
 	for _, p := range problems {
--- a/cowslipentry/forwardlog.go
+++ b/cowslipentry/forwardlog.go
@@ -20,7 +20,7 @@
 	f.metrics.observe(f.clock.Since(f.start), x.Kind == ReplyTarget || x.Kind == ReplyGathered && x.Missing == 0)
 	l := []any{
 		"id", f.request.ID, "route", f.route.Config().Name(), "outcome", string(x.Kind), "tookMillis", f.clock.Since(f.start).Milliseconds(),
-		"revision", f.view.Revision(), "storeAgeMillis", f.clock.Since(f.mirror.ConfirmedAt()).Milliseconds(), "parts", len(f.services), "hedgeAfterMillis", f.route.HedgeAfter().Milliseconds(),
+		"revision", f.view.Revision(), "storeAgeMillis", f.storeAgeMillis(), "parts", len(f.services), "hedgeAfterMillis", f.route.HedgeAfter().Milliseconds(),
 	}
 	if x.Reason != "" {
 		l = append(l, "reason", x.Reason)
--- a/cowslipentry/loop.go
+++ b/cowslipentry/loop.go
@@ -33,7 +33,7 @@
 	n := e.clock.Now()
 	v, x := e.control.Tick(n)
 	e.view.Store(v)
-	e.updateReadiness(n, v.Revision() > 0, e.control.Isolated(n))
+	e.updateReadiness(n, v.Revision() > 0 && (e.opts.Edge == nil || e.isMirrorUsable(n)), e.control.Isolated(n))
 	e.metrics.ticks.Add(1)
 	e.metrics.tickNanos.Add(int64(e.clock.Since(n)))
 	if x.Push {
--- a/cowslipentry/metrics.go
+++ b/cowslipentry/metrics.go
@@ -97,11 +97,16 @@
 	Isolated       bool  `json:"isolated"`
 }
 
-func (e *Entry) state() instanceState {
-	s := instanceState{StoreAgeMillis: -1, Connections: e.forwarder.Opened(), Ready: e.Ready(), Isolated: e.isolatedSince.Load() != 0}
+// storeAgeMillis returns the age of the mirror, -1 if the store never confirmed it.
+func (e *Entry) storeAgeMillis() int64 {
 	if at := e.mirror.ConfirmedAt(); !at.IsZero() {
-		s.StoreAgeMillis = e.clock.Since(at).Milliseconds()
+		return e.clock.Since(at).Milliseconds()
 	}
+	return -1
+}
+
+func (e *Entry) state() instanceState {
+	s := instanceState{StoreAgeMillis: e.storeAgeMillis(), Connections: e.forwarder.Opened(), Ready: e.Ready(), Isolated: e.isolatedSince.Load() != 0}
 	e.do(func(_ time.Time, c *cowslipcontrol.Control) { s.Counts = c.Counts() })
 	return s
 }
