Serve accepted connections to the end of a planned stop

Cause: http.Server.Shutdown drops a request that is read after it began, also on a connection that was accepted before, and an instance under steady load served its whole grace period, since it waited for a moment without any request, and then had 200 ms for those in flight.

--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -117,7 +117,7 @@
 
 	mirror        *cowslipmirror.Mirror
 	firstMirrored atomic.Pointer[time.Time] // when the mirror first had content
-	applyMu       sync.Mutex // held while an update is applied to the mirror and the control state
+	applyMu       sync.Mutex                // held while an update is applied to the mirror and the control state
 	buffers       *cowsliptarget.Buffers
 	forwarder     *cowsliptarget.Forwarder
 	relayer       *cowslippeer.Relayer
@@ -213,9 +213,6 @@
 	case err = <-errs:
 	}
 	e.drain(callers)
-	t, cancel := context.WithTimeout(context.Background(), stopTimeout/10)
-	defer cancel()
-	callers.Stop(t)
 	stopServer(operators)
 	e.cancel()
 	w.Wait()
@@ -280,12 +277,20 @@
 		e.requests.Wait()
 		close(done)
 	}()
+	if e.opts.Edge != nil {
+		// Connections that were accepted before are served within the grace period,
+		// while no new ones are accepted.
+		t, cancel := context.WithTimeout(context.Background(), e.graceLeft(began))
+		defer cancel()
+		callers.Stop(t)
+	}
 	finished := e.awaitRequests(began, done)
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	if e.opts.Edge == nil {
 		e.exchangeAll(ctx)
 		e.leave(ctx)
+		callers.Stop(ctx)
 	}
 	e.event("instanceStopped", e.opts.ID, finished)
 }
@@ -315,12 +320,22 @@
 	select {
 	case <-done:
 		return finished
-	case <-e.clock.After(grace - e.clock.Since(began) - graceMargin):
+	case <-e.clock.After(e.graceLeft(began)):
 		e.event("requestsLeft", e.opts.ID, "the grace period is over")
 		return "some requests are not finished"
 	}
 }
 
+// graceLeft returns how long requests may still run in a grace period that began at began.
+// Without a grace period it is stopTimeout.
+func (e *Entry) graceLeft(began time.Time) time.Duration {
+	grace := e.currentSettings().bounds.Grace
+	if grace == 0 {
+		return stopTimeout
+	}
+	return max(grace-e.clock.Since(began)-graceMargin, 0)
+}
+
 func (e *Entry) event(kind, subject, detail string) {
 	e.events.Add(kind, subject, detail)
 	e.log.Info(kind, "subject", subject, "detail", detail)
--- a/cowslipquery/dispatch_test.go
+++ b/cowslipquery/dispatch_test.go
@@ -247,7 +247,10 @@
 		change  func(*cowslipquery.DispatchOptions)
 		shed    int
 	}{
-		{"no retry is left", []targetReply{shed}, func(o *cowslipquery.DispatchOptions) { o.AtMostOnce = true; o.Parts[0].Replicas = o.Parts[0].Replicas[:1] }, 1},
+		{"no retry is left", []targetReply{shed}, func(o *cowslipquery.DispatchOptions) {
+			o.AtMostOnce = true
+			o.Parts[0].Replicas = o.Parts[0].Replicas[:1]
+		}, 1},
 		{"another request is in flight", []targetReply{shed, {after: 15 * ms}}, func(*cowslipquery.DispatchOptions) {}, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
