--- a/cowsliptarget/client.go
+++ b/cowsliptarget/client.go
@@ -141,7 +141,7 @@
 	// The target may have closed an idle connection, for example by a restart, before
 	// the transport has noticed. Closed here, it takes no byte of the request, and the
 	// transport uses another connection.
-	if i.Reused && !isIdle(n.Conn) {
+	if i.Reused && !IsIdle(n.Conn) {
 		n.Close()
 	}
 }
--- a/cowsliptarget/forwarder.go
+++ b/cowsliptarget/forwarder.go
@@ -292,7 +292,7 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.expiresAt) && c.lastID != id && isIdle(c.Conn) {
+		if time.Now().Before(c.expiresAt) && c.lastID != id && IsIdle(c.Conn) {
 			c.reused, c.lastID = true, id
 			return c, nil
 		}
@@ -371,9 +371,9 @@
 	}
 }
 
-// isIdle reports whether a connection is open and has no data to read. Data that
+// IsIdle reports whether a connection is open and has no data to read. Data that
 // arrived while it was idle belongs to no request.
-func isIdle(n net.Conn) bool {
+func IsIdle(n net.Conn) bool {
 	t, ok := n.(syscall.Conn)
 	if !ok {
 		return true
