--- a/cowslipcontrol/membership.go
+++ b/cowslipcontrol/membership.go
@@ -117,6 +117,18 @@
 	}
 }
 
+// RemoveUnlisted takes the targets that are not listed out of use at once. It is for an
+// instance that has just started and took them from a list that was out of date: others
+// have known for longer that they are gone, and their grace may be over.
+func (c *Control) RemoveUnlisted() {
+	for i := range c.targets {
+		if t := &c.targets[i]; !t.unlistedAt.IsZero() && !t.removed {
+			t.removed = true
+			c.updateLeaving(t, "no longer listed")
+		}
+	}
+}
+
 // removeAfterGrace takes a target out of use once it has been unlisted for
 // RemovalGrace.
 func (c *Control) removeAfterGrace(now time.Time, t *target) {
--- a/cowslipentry/follow.go
+++ b/cowslipentry/follow.go
@@ -342,6 +342,7 @@
 func (e *Entry) applyUpdate(u cowslipmirror.Update, from string) {
 	e.applyMu.Lock()
 	defer e.applyMu.Unlock()
+	confirmed := e.isMirrorConfirmed()
 	if !e.mirror.Apply(u) {
 		return
 	}
@@ -364,6 +365,9 @@
 			c.Offer(cowslipcontrol.Accepted{Revision: r, Text: b.ConfigText}, from)
 		}
 		c.UpdateTargets(now, b.Targets)
+		if !confirmed && e.isMirrorConfirmed() {
+			c.RemoveUnlisted()
+		}
 		applyMoveRecords(c, b.Moves)
 	})
 }
