--- a/cowsliproute/view.go
+++ b/cowsliproute/view.go
@@ -102,13 +102,18 @@
 	}
 	s := r.IntN(n)
 	var best *Target
-	for i, compared := 0, 0; i < n && compared < maxCompared; i++ {
+	for i, compared := 0, 0; i < n && (compared < maxCompared || v.roundRobin); i++ {
 		t := replicas[(s+i)%n]
 		if !v.eligible(t, o) {
 			continue
 		}
 		compared++
-		if best == nil || !v.roundRobin && t.betterThan(best, o.Now, v.preferredDomain(o)) {
+		better := best != nil && t.betterThan(best, o.Now, v.preferredDomain(o))
+		if v.roundRobin {
+			// Each of the eligible replicas is chosen equally often.
+			better = r.IntN(compared) == 0
+		}
+		if best == nil || better {
 			best = t
 		}
 	}
--- a/cowsliproute/view_test.go
+++ b/cowsliproute/view_test.go
@@ -234,3 +234,27 @@
 	l[0].SetLoad(3)
 	require.Equal(t, map[string]int{"plan": 100}, picked(cowsliproute.PickOptions{PreferOwnDomain: true}), "the target in the other failure domain is much better")
 }
+
+// The baseline without regard to load must use all replicas that may be asked equally
+// often, also those that follow ones that may not.
+func TestRoundRobinUsesAllEligibleReplicas(t *testing.T) {
+	var l []*cowsliproute.Target
+	for i := range 5 {
+		x := cowsliproute.NewTarget(cowsliproute.TargetInfo{ID: fmt.Sprint(i), Slots: 1})
+		x.SetLimit(1)
+		x.SetLeaving(i < 3)
+		l = append(l, x)
+	}
+	v := cowsliproute.NewView(cowsliproute.ViewOptions{RoundRobin: true})
+	r := rand.New(rand.NewPCG(1, 2))
+	picks := map[string]int{}
+	const rounds = 2000
+	for range rounds {
+		x := v.Pick(l, cowsliproute.PickOptions{}, r)
+		require.NotNil(t, x)
+		picks[x.Info().ID]++
+		x.Release()
+	}
+	require.InDelta(t, rounds/2, picks["3"], rounds/20)
+	require.InDelta(t, rounds/2, picks["4"], rounds/20)
+}
