--- a/cowslipcontrol/membership.go
+++ b/cowslipcontrol/membership.go
@@ -27,6 +27,7 @@
 	warmupStart     time.Time // when an entry instance first saw the incarnation, or last found it cold again
 	reportedAt      time.Time // last report received from the target itself
 	unlistedAt      time.Time // zero while the platform lists it
+	graceUntil      time.Time // while it is unlisted: until when it stays in use
 	removed         bool      // no longer listed, and the removal grace is over
 	suspensionToEnd int64     // number of the suspension, due to a lost connection, that the next runLimits ends since the target has reported; 0 if none
 	listLeaving     bool
@@ -112,6 +113,7 @@
 		t := &c.targets[i]
 		if !seen[t.handle.Info().ID] && t.unlistedAt.IsZero() {
 			t.unlistedAt = now
+			t.graceUntil = later(now.Add(c.o.RemovalGrace), c.lapsedUntil)
 			c.removeAfterGrace(now, t)
 		}
 	}
@@ -129,10 +131,15 @@
 	}
 }
 
-// removeAfterGrace takes a target out of use once it has been unlisted for
-// RemovalGrace.
+// StoreReturned handles the first answer of the store after an outage. The entries of
+// targets that could not renew them may have lapsed, and the targets need some time to
+// write them again, so that all those that are found missing by then stay in use for
+// lapseReturnTime.
+func (c *Control) StoreReturned(now time.Time) { c.lapsedUntil = now.Add(lapseReturnTime) }
+
+// removeAfterGrace takes a target out of use once its grace is over.
 func (c *Control) removeAfterGrace(now time.Time, t *target) {
-	if t.unlistedAt.IsZero() || t.removed || now.Sub(t.unlistedAt) < c.o.RemovalGrace {
+	if t.unlistedAt.IsZero() || t.removed || now.Before(t.graceUntil) {
 		return
 	}
 	t.removed = true
--- a/cowslipentry/follow.go
+++ b/cowslipentry/follow.go
@@ -342,7 +342,8 @@
 func (e *Entry) applyUpdate(u cowslipmirror.Update, from string) {
 	e.applyMu.Lock()
 	defer e.applyMu.Unlock()
-	confirmed := e.isMirrorConfirmed()
+	before := e.mirror.ConfirmedAt()
+	outage := !before.IsZero() && e.clock.Since(before) > e.staleAge()
 	if !e.mirror.Apply(u) {
 		return
 	}
@@ -364,8 +365,11 @@
 		if b.ConfigText != "" && b.ConfigText != c.Accepted().Text {
 			c.Offer(cowslipcontrol.Accepted{Revision: r, Text: b.ConfigText}, from)
 		}
+		if outage {
+			c.StoreReturned(now)
+		}
 		c.UpdateTargets(now, b.Targets)
-		if !confirmed && e.isMirrorConfirmed() {
+		if before.IsZero() && e.isMirrorConfirmed() {
 			c.RemoveUnlisted()
 		}
 		applyMoveRecords(c, b.Moves)
--- a/cowslipentry/relay_test.go
+++ b/cowslipentry/relay_test.go
@@ -51,7 +51,9 @@
 		var w sync.WaitGroup
 		const offers = 8 * maxRelayedRequests
 		for range offers {
-			w.Go(func() { _ = e.onRelay(&offer{ctx: ctx, request: &cowslipmessage.RelayRequest{Digest: 1}, reply: reply}) })
+			w.Go(func() {
+				_ = e.onRelay(&offer{ctx: ctx, request: &cowslipmessage.RelayRequest{Digest: 1}, reply: reply})
+			})
 		}
 		taken := 0
 		for range offers {
