--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -20,10 +20,6 @@
 	// JoinGrace is how long a new instance sends nothing to cold targets, so that
 	// its peers count it as a sender before it starts to send.
 	JoinGrace = 3 * time.Second
-	// lapseReturnTime is how long after an outage of the store a target may be missing
-	// from the list: about two seconds until it has registered again, and the time
-	// until the change arrives.
-	lapseReturnTime = 2300 * time.Millisecond
 )
 
 // Options configures a Control. Only ID is required.
--- a/cowslipcontrol/lapse_test.go
+++ b/cowslipcontrol/lapse_test.go
@@ -21,7 +21,7 @@
 			x := newListOnlyBench(t, spreadReplicas...)
 			back, gone := x.replica(0, "cerro"), x.replica(1, "plan")
 			if c.returned {
-				x.StoreReturned(x.now)
+				x.StoreReturned(x.now.Add(2300 * time.Millisecond))
 			}
 			x.UpdateTargets(x.now, nil)
 			x.tick(c.inUse)
--- a/cowslipcontrol/membership.go
+++ b/cowslipcontrol/membership.go
@@ -133,9 +133,8 @@
 
 // StoreReturned handles the first answer of the store after an outage. The entries of
 // targets that could not renew them may have lapsed, and the targets need some time to
-// write them again, so that all those that are found missing by then stay in use for
-// lapseReturnTime.
-func (c *Control) StoreReturned(now time.Time) { c.lapsedUntil = now.Add(lapseReturnTime) }
+// write them again. Those that are found missing before backBy stay in use until then.
+func (c *Control) StoreReturned(backBy time.Time) { c.lapsedUntil = backBy }
 
 // removeAfterGrace takes a target out of use once its grace is over.
 func (c *Control) removeAfterGrace(now time.Time, t *target) {
--- a/cowslipentry/follow.go
+++ b/cowslipentry/follow.go
@@ -43,6 +43,12 @@
 	// other than the reader of its failure domain. Until then, that reader alone keeps
 	// the mirror up to date.
 	otherSourcesShare = 0.6
+	// lapseReturnTime is how long after an outage of the store a target may take to
+	// register again.
+	lapseReturnTime = 2 * time.Second
+	// changeShare is the time until a change in the store has reached all instances
+	// while readers and followers are well.
+	changeShare = storeIntervalShare + followWaitShare
 	// storeRetryInterval is the time between calls to a store or peer that does not
 	// answer.
 	storeRetryInterval = 400 * time.Millisecond
@@ -366,7 +372,7 @@
 			c.Offer(cowslipcontrol.Accepted{Revision: r, Text: b.ConfigText}, from)
 		}
 		if outage {
-			c.StoreReturned(now)
+			c.StoreReturned(now.Add(lapseReturnTime + e.shareOfStaleAge(changeShare)))
 		}
 		c.UpdateTargets(now, b.Targets)
 		if before.IsZero() && e.isMirrorConfirmed() {
