Read a message that is longer than announced to its end; one time for the age of the mirror

ReadAll would have asked for no bytes for ever if a reader gave more than it announced; HTTP bodies do not.

--- a/cowslipentry/follow.go
+++ b/cowslipentry/follow.go
@@ -83,8 +83,7 @@
 // its failure domain, or its mirror is empty or older than takeoverAge.
 func (e *Entry) storeLoop() {
 	for e.ctx.Err() == nil {
-		known := later(e.mirror.ConfirmedAt(), e.mirroredAt())
-		old := e.mirror.Revision() == 0 || e.clock.Since(known) > e.takeoverAge()
+		old := e.mirror.Revision() == 0 || e.clock.Since(e.contentFrom()) > e.takeoverAge()
 		switch {
 		case !old && !e.storeSources().ReadsStore:
 			e.sleep(e.ctx, e.shareOfStaleAge(ageCheckShare))
@@ -164,22 +163,20 @@
 // old: it may have targets that have left since, and routes that were withdrawn.
 func (e *Entry) isMirrorConfirmed() bool { return !e.mirror.ConfirmedAt().IsZero() }
 
-// mirroredAt returns when the mirror first had content, the zero time if it has none.
-func (e *Entry) mirroredAt() time.Time {
-	if t := e.firstMirrored.Load(); t != nil {
-		return *t
+// contentFrom returns the later of the times at which the mirror was last confirmed and at
+// which it first had content, the zero time for an empty mirror.
+func (e *Entry) contentFrom() time.Time {
+	t := e.mirror.ConfirmedAt()
+	if m := e.firstMirrored.Load(); m != nil && m.After(t) {
+		return *m
 	}
-	return time.Time{}
+	return t
 }
 
 // isMirrorUsable reports whether callers may be served from the mirror at now: it is
 // confirmed, or confirmationWait is over.
 func (e *Entry) isMirrorUsable(now time.Time) bool {
-	if e.isMirrorConfirmed() {
-		return true
-	}
-	t := e.mirroredAt()
-	return !t.IsZero() && now.Sub(t) >= confirmationWait
+	return e.isMirrorConfirmed() || e.mirror.Revision() > 0 && now.Sub(e.contentFrom()) >= confirmationWait
 }
 
 func (e *Entry) followRetryInterval() time.Duration {
@@ -189,13 +186,6 @@
 	return unconfirmedRetryInterval
 }
 
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 func (e *Entry) storeSources() cowslipcontrol.Sources {
 	var s cowslipcontrol.Sources
 	e.do(func(_ time.Time, c *cowslipcontrol.Control) { s = c.Sources() })
--- a/cowsliptarget/buffers.go
+++ b/cowsliptarget/buffers.go
@@ -84,7 +84,7 @@
 	for {
 		if len(b) == cap(b) {
 			n := max(int64(len(b)), firstReadBytes)
-			if length >= 0 {
+			if length >= int64(len(b)) {
 				// One byte more than the message has, so that the last read meets its end.
 				n = min(n, length-int64(len(b))+1)
 			}
