--- a/cowslipquery/dispatch.go
+++ b/cowslipquery/dispatch.go
@@ -338,31 +338,6 @@
 	p.waiting = true
 }
 
-// releaseHeld lets the parts that are held be sent again once a target has answered. If
-// none can answer any more, they are missing.
-func (d *Dispatch) releaseHeld(now time.Time) {
-	if !d.options.HoldLost {
-		return
-	}
-	hopeless := !d.answered && !slices.ContainsFunc(d.parts, func(p partState) bool { return p.inFlight > 0 || p.waiting })
-	own := d.options.View.Scope(now) == cowsliproute.ScopeOwnDomain
-	for i := range d.parts {
-		p := &d.parts[i]
-		if !p.held || !d.answered && !hopeless {
-			continue
-		}
-		p.held = false
-		p.waiting = !hopeless && d.mayTryAnother(i, own) && d.options.Parts[i].Service.Budget().Spend(now)
-		p.missing = !p.waiting
-	}
-}
-
-// probeMayHaveCrashed reports whether an outcome of the request that ProbeFirst sends
-// first leaves open that the request crashed the target. Another one is then spared.
-func (d *Dispatch) probeMayHaveCrashed(o cowsliptarget.Outcome) bool {
-	return d.options.ProbeFirst && !d.answered && o != cowsliptarget.Failed
-}
-
 // retryIsFree reports whether a retry after this outcome costs no retry budget.
 func (d *Dispatch) retryIsFree(a attempt, o cowsliptarget.Outcome) bool {
 	// Only a few requests prefer a version that is not proven yet. A retry after an
