Log why a crash under a request is not counted, cleared or shared

On-call engineers could not see why a request that crashes targets is not held: a lost attempt that does not count left no line, neither did an answer that clears a suspect request, and crashes that other instances were not told had no counter. The line of a request now has fingerprint, verdict and caller if the verdict is not harmless.

Logs and counters alone; no decision changes.

--- a/cowslipentry/forwardcrash.go
+++ b/cowslipentry/forwardcrash.go
@@ -64,7 +64,8 @@
 // probeLost reports the targets that have crashed, those whose hosts refuse connections.
 func (f *forward) probeLost(ctx context.Context, l []forwardResult) {
 	for _, x := range l {
-		if x.target.Leaving() || !f.forwarder.Refuses(ctx, x.target.Info().Addr) {
+		if reason := f.noCrashReason(ctx, x.target); reason != "" {
+			f.log.Info("crash not counted", "id", f.request.ID, "fingerprint", formatFingerprint(f.fingerprint), "target", x.target.Info().ID, "outcome", x.outcome.String(), "reason", reason)
 			continue
 		}
 		k := cowslipcontrol.Crash{Fingerprint: f.fingerprint, Incident: f.request.ID, Target: x.target, Incarnation: x.incarnation}
@@ -74,16 +75,28 @@
 	}
 }
 
+// noCrashReason returns why a target that broke a request off does not count as crashed,
+// or an empty string if it does.
+func (f *forward) noCrashReason(ctx context.Context, t *cowsliproute.Target) string {
+	switch {
+	case t.Leaving():
+		return "the target is leaving"
+	case !f.forwarder.Refuses(ctx, t.Info().Addr):
+		return "its host does not refuse connections"
+	}
+	return ""
+}
+
 // shareCrash writes a crash to the store. If the store does not answer, the crash counts
 // at this instance alone.
 func (e *Entry) shareCrash(ctx context.Context, s cowslipcontrol.SharedCrash) {
 	if !e.crashLimiter.Allow() {
-		e.log.Warn("crash not shared", "reason", "too many crashes", "run", s.EndedRun)
+		e.logCrashNotShared("too many crashes", s)
 		return
 	}
 	b, err := json.Marshal(s)
 	if err != nil {
-		e.log.Warn("crash not shared", "reason", err, "run", s.EndedRun)
+		e.logCrashNotShared(err, s)
 		return
 	}
 	t, cancel := context.WithTimeout(ctx, platformCallTimeout)
@@ -94,15 +107,26 @@
 		_, err = e.opts.Store.Put(t, cowslipplatform.Write{Key: k, Data: b, Lease: l})
 	}
 	if err != nil {
-		e.log.Warn("crash not shared", "reason", err, "run", s.EndedRun)
+		e.logCrashNotShared(err, s)
 	}
 }
 
+func (e *Entry) logCrashNotShared(reason any, s cowslipcontrol.SharedCrash) {
+	e.metrics.crashesNotShared.Add(1)
+	e.log.Warn("crash not shared", "reason", reason, "fingerprint", formatFingerprint(s.Fingerprint), "run", s.EndedRun, "request", s.Incident)
+}
+
 // crashKeys returns the prefix of the keys of all crashes under a request.
-func crashKeys(fingerprint uint64) string { return fmt.Sprintf("%s%016x/", crashesPrefix, fingerprint) }
+func crashKeys(fingerprint uint64) string {
+	return crashesPrefix + formatFingerprint(fingerprint) + "/"
+}
+
+// formatFingerprint returns a fingerprint as keys, events and log lines show it.
+func formatFingerprint(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
 
 // clearSuspect dismisses the crashes under a request that a target has answered.
 func (f *forward) clearSuspect(ctx context.Context) {
+	f.event("requestCleared", formatFingerprint(f.fingerprint), "a target answered request "+f.request.ID)
 	f.do(func(now time.Time, c *cowslipcontrol.Control) { c.ClearSuspect(now, f.fingerprint) })
 	t, cancel := context.WithTimeout(ctx, platformCallTimeout)
 	defer cancel()
--- a/cowslipentry/forwardlog.go
+++ b/cowslipentry/forwardlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"cowslipflow/cowslipquery"
+	"cowslipflow/cowsliproute"
 	"cowslipflow/cowsliptarget"
 )
 
@@ -25,6 +26,9 @@
 	if x.Reason != "" {
 		l = append(l, "reason", x.Reason)
 	}
+	if f.verdict != cowsliproute.Harmless {
+		l = append(l, "fingerprint", formatFingerprint(f.fingerprint), "crashVerdict", f.verdict.String(), "caller", f.request.Caller)
+	}
 	if f.relayedBy != "" {
 		f.log.Info("request", append(l, "relay", f.relayedBy, "missingParts", x.Missing)...)
 		return
--- a/cowslipentry/metrics.go
+++ b/cowslipentry/metrics.go
@@ -27,6 +27,7 @@
 	subRequestsNeeded *expvar.Int // sub-requests needed for the answers, without retries and hedges
 	subRequestsSent   *expvar.Int // sub-requests sent, including retries and hedges
 	crashes           *expvar.Int
+	crashesNotShared  *expvar.Int // failed attempts to tell the other instances of a crash
 	reruns            *expvar.Int // queries run again because the view was stale
 	probes            *expvar.Int
 	exchanges         *expvar.Int
@@ -57,6 +58,7 @@
 	m.vars.Set("instance", s)
 	m.queries, m.incomplete, m.records, m.refusedForLoad = n("queries"), n("queriesIncomplete"), n("records"), n("refusedForLoad")
 	m.subRequestsNeeded, m.subRequestsSent, m.crashes, m.reruns = n("subRequestsNeeded"), n("subRequestsSent"), n("targetCrashes"), n("reruns")
+	m.crashesNotShared = n("targetCrashesNotShared")
 	m.probes, m.exchanges, m.ticks, m.tickNanos = n("probes"), n("exchanges"), n("ticks"), n("tickNanos")
 	m.storeCalls = n("storeCalls")
 	m.samplesLost, m.poolFull = n("samplesLost"), n("poolFull")
--- a/cowsliproute/freshness.go
+++ b/cowsliproute/freshness.go
@@ -25,6 +25,9 @@
 	Quarantined              // two crashes: refuse it
 )
 
+// String returns the name of the verdict.
+func (v CrashVerdict) String() string { return [...]string{"harmless", "suspect", "quarantined"}[v] }
+
 // freshnessTimes holds the arguments of Freshness.Set.
 type freshnessTimes struct {
 	confirmedUntil, runningUntil, blockedUntil time.Time
