Count the end of a target's run as a crash, however it shows

Cause: a crash counted only if the host refused a connection after the whole request had ended; the log then says 'the target is leaving' or 'its host does not refuse connections'. The class: one moment's symptom taken for the fact. An answer within the request's time was never in question.

A request without an answer is now remembered for 10 s with the targets and runs that had it. If the platform's list shows that a run has ended, or its entry is gone beyond its grace, and it was not leaving, it counts as crashed under the request, and the other instances are told.

--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -100,6 +100,7 @@
 	moves            []move
 	crashes          []crash // reported by this instance and, without ListOnly, by peers
 	sharedCrashes    []crash // in the store
+	unanswered       []unanswered
 	outcomes         map[string]*cowslipmessage.Outcome
 	recordedMoves    map[string]bool // moves whose start is recorded on the platform, by ID
 	stops            map[string]*cowslipmessage.Stop
@@ -125,6 +126,7 @@
 	Repair   bool                      // write the configuration in force to the store, which holds an older revision
 	Outcomes []*cowslipmessage.Outcome // record these outcomes of moves
 	Started  []cowslipconfig.Move      // record that these moves have started
+	Crashes  []SharedCrash             // tell the other instances of these crashes
 	Push     bool                      // exchange state with all peers immediately
 }
 
@@ -161,6 +163,7 @@
 	c.runServiceHedging(now)
 	c.runRouteHedging(now)
 	c.runMoves(now)
+	c.runUnanswered(now)
 	c.runQuarantine(now)
 	c.runLimits(now)
 	c.lastTick = now
--- /dev/null
+++ b/cowslipcontrol/unanswered.go
@@ -0,0 +1,54 @@
+package cowslipcontrol
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// runEndWait is how long the end of a target's run counts as a crash under a request
+	// that it has not answered. The platform takes some seconds to drop the entry of a
+	// target that falls silent.
+	runEndWait = 10 * time.Second
+	// maxUnanswered bounds the table of unanswered requests; the oldest are dropped first.
+	maxUnanswered = 512
+)
+
+// unanswered is a row of the table of requests that a target has not answered.
+type unanswered struct {
+	crash Crash // if the target's run ends
+	at    time.Time
+}
+
+// Unanswered records a request that no target of the service has answered, with the targets
+// that have not visibly crashed. Those whose run ends soon without being planned count as
+// crashed under the request.
+func (c *Control) Unanswered(now time.Time, l ...Crash) {
+	for _, x := range l {
+		c.unanswered = append(c.unanswered, unanswered{crash: x, at: now})
+	}
+	c.unanswered = c.unanswered[max(len(c.unanswered)-maxUnanswered, 0):]
+}
+
+// runUnanswered turns unanswered requests into crashes if the run of their target has ended.
+func (c *Control) runUnanswered(now time.Time) {
+	c.unanswered = slices.DeleteFunc(c.unanswered, func(u unanswered) bool {
+		ended, planned := c.runEnded(u.crash)
+		if ended && !planned {
+			c.Crashed(now, u.crash)
+			c.effects.Crashes = append(c.effects.Crashes, u.crash.Shared())
+		}
+		return ended || planned || now.Sub(u.at) > runEndWait
+	})
+}
+
+// runEnded reports whether the run of a target that a request was sent to has ended, and
+// whether it is ending as planned.
+func (c *Control) runEnded(x Crash) (ended, planned bool) {
+	n, ok := c.targetIndex[x.Target.Info().ID]
+	if !ok {
+		return true, false
+	}
+	t := &c.targets[n]
+	return t.incarnation != x.Incarnation || t.removed, t.listLeaving || t.selfLeaving
+}
--- a/cowslipentry/forwardcrash.go
+++ b/cowslipentry/forwardcrash.go
@@ -69,7 +69,7 @@
 	var lost []forwardResult
 	for _, x := range f.attempts {
 		switch x.outcome {
-		case cowsliptarget.Lost, cowsliptarget.Corrupt:
+		case cowsliptarget.Lost, cowsliptarget.Corrupt, cowsliptarget.Cancelled:
 			if !answered[x.target.Info().Service] {
 				lost = append(lost, x)
 			}
@@ -93,31 +93,36 @@
 	return v.Suspicion(f.fingerprint).Merge(v.Suspicion(f.family))
 }
 
-// probeLost reports the targets that have crashed, those whose hosts refuse connections.
-// Partial says whether targets of other services answered the request.
+// probeLost reports the targets that have crashed, those whose hosts refuse connections, and
+// those that may have. Partial says whether targets of other services answered the request.
 func (f *forward) probeLost(ctx context.Context, l []forwardResult, partial bool) {
+	var unanswered []cowslipcontrol.Crash
 	for _, x := range l {
-		if reason := f.noCrashReason(ctx, x.target); reason != "" {
-			f.log.Info("crash not counted", "id", f.request.ID, "fingerprint", formatFingerprint(f.fingerprint), "target", x.target.Info().ID, "outcome", x.outcome.String(), "reason", reason)
+		k := cowslipcontrol.Crash{Fingerprint: f.fingerprint, Family: f.family, Incident: f.incident, Target: x.target, Incarnation: x.incarnation, Partial: partial}
+		if !f.refuses(ctx, x) {
+			unanswered = append(unanswered, k)
 			continue
 		}
-		k := cowslipcontrol.Crash{Fingerprint: f.fingerprint, Family: f.family, Incident: f.incident, Target: x.target, Incarnation: x.incarnation, Partial: partial}
 		f.metrics.crashes.Add(1)
 		f.do(func(now time.Time, c *cowslipcontrol.Control) { c.Crashed(now, k) })
 		f.shareCrash(ctx, k.Shared())
 	}
+	f.do(func(now time.Time, c *cowslipcontrol.Control) { c.Unanswered(now, unanswered...) })
 }
 
-// noCrashReason returns why a target that broke a request off does not count as crashed,
-// or an empty string if it does.
-func (f *forward) noCrashReason(ctx context.Context, t *cowsliproute.Target) string {
+// refuses reports whether the host of a target that broke a request off refuses connections.
+func (f *forward) refuses(ctx context.Context, x forwardResult) bool {
+	reason := "its host does not refuse connections"
 	switch {
-	case t.Leaving():
-		return "the target is leaving"
-	case !f.forwarder.Refuses(ctx, t.Info().Addr):
-		return "its host does not refuse connections"
-	}
-	return ""
+	case x.outcome == cowsliptarget.Cancelled:
+		return false
+	case x.target.Leaving():
+		reason = "the target is leaving"
+	case f.forwarder.Refuses(ctx, x.target.Info().Addr):
+		return true
+	}
+	f.log.Info("crash not counted", "id", f.request.ID, "fingerprint", formatFingerprint(f.fingerprint), "target", x.target.Info().ID, "outcome", x.outcome.String(), "reason", reason)
+	return false
 }
 
 // shareCrash writes a crash to the store. If the store does not answer, the crash counts
--- a/cowslipentry/loop.go
+++ b/cowslipentry/loop.go
@@ -49,6 +49,10 @@
 	if len(x.Outcomes) > 0 {
 		e.recordMoveOutcomes(x.Outcomes)
 	}
+	for _, s := range x.Crashes {
+		e.metrics.crashes.Add(1)
+		e.runInBackground(func(ctx context.Context) { e.shareCrash(ctx, s) })
+	}
 	for _, m := range x.Started {
 		e.startThrottled("started/"+m.ID(), moveRecordRetryInterval, func(ctx context.Context) { e.recordMoveState(ctx, m, MoveRunning) })
 	}
