Tell crashes again that the store did not take, the gravest first

Cause: one attempt to write, one limit that drops. Crashes now wait in a bounded queue, those under requests with the gravest verdict first; a write whose answer was lost and that took effect counts.

TestCrashIsToldOnceTheStoreIsBackThroughProcesses failed before (no key 4 s after the store's return).

--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -103,6 +103,7 @@
 	recorder     *cowsliprecord.Recorder
 	claimLimiter *rate.Limiter
 	crashLimiter *rate.Limiter
+	crashes      *crashQueue
 	loopDone     chan struct{} // closed when controlLoop returns
 	exchangeNow  chan struct{}
 	registered   chan struct{} // signals that this instance is on the list of entry instances again
@@ -161,6 +162,7 @@
 		registered:   make(chan struct{}, 1),
 		claimLimiter: rate.NewLimiter(rate.Limit(o.ClaimRate), claimBurst),
 		crashLimiter: rate.NewLimiter(rate.Every(crashShareInterval), crashShareBurst),
+		crashes:      newCrashQueue(),
 		metrics:      newMetrics(o.ID),
 		mirror:       &cowslipmirror.Mirror{},
 	}
@@ -237,7 +239,7 @@
 // its keys.
 func (e *Entry) platformLoops() []func() {
 	if e.opts.Edge != nil {
-		return []func(){e.storeLoop, e.followOwnReader, e.followOtherSources, e.peerProbeLoop, e.moveLoop, e.leaseLoop, e.sweepLoop}
+		return []func(){e.storeLoop, e.followOwnReader, e.followOtherSources, e.peerProbeLoop, e.moveLoop, e.crashLoop, e.leaseLoop, e.sweepLoop}
 	}
 	return []func(){e.watchLoop, e.listLoop, e.leaseLoop, func() { e.exchangeLoop(e.peerAddrs) }, e.probeLoop}
 }
--- a/cowslipentry/forwardcrash.go
+++ b/cowslipentry/forwardcrash.go
@@ -24,7 +24,7 @@
 	// maxCrashProbes limits the targets that are checked after a request.
 	maxCrashProbes = 8
 	// crashShareInterval and crashShareBurst limit how often an instance writes a crash
-	// to the store, so that a wave of crashes does not load the store.
+	// to the store, so that a wave of crashes does not load the store. The others wait.
 	crashShareInterval = time.Second
 	crashShareBurst    = 8
 )
@@ -105,7 +105,7 @@
 		}
 		f.metrics.crashes.Add(1)
 		f.do(func(now time.Time, c *cowslipcontrol.Control) { c.Crashed(now, k) })
-		f.shareCrash(ctx, k.Shared())
+		f.shareCrash(k.Shared())
 	}
 	f.do(func(now time.Time, c *cowslipcontrol.Control) { c.Unanswered(now, unanswered...) })
 }
@@ -125,35 +125,6 @@
 	return false
 }
 
-// shareCrash writes a crash to the store. If the store does not answer, the crash counts
-// at this instance alone.
-func (e *Entry) shareCrash(ctx context.Context, s cowslipcontrol.SharedCrash) {
-	if !e.crashLimiter.Allow() {
-		e.logCrashNotShared("too many crashes", s)
-		return
-	}
-	b, err := json.Marshal(s)
-	if err != nil {
-		e.logCrashNotShared(err, s)
-		return
-	}
-	t, cancel := context.WithTimeout(ctx, platformCallTimeout)
-	defer cancel()
-	l, err := e.opts.Store.Grant(t, crashLeaseTTL)
-	if err == nil {
-		k := fmt.Sprintf("%s%016x", crashKeys(s.Fingerprint), xxhash.Sum64String(s.Incident+" "+s.EndedRun))
-		_, err = e.opts.Store.Put(t, cowslipplatform.Write{Key: k, Data: b, Lease: l})
-	}
-	if err != nil {
-		e.logCrashNotShared(err, s)
-	}
-}
-
-func (e *Entry) logCrashNotShared(reason any, s cowslipcontrol.SharedCrash) {
-	e.metrics.crashesNotShared.Add(1)
-	e.log.Warn("crash not shared", "reason", reason, "fingerprint", formatFingerprint(s.Fingerprint), "run", s.EndedRun, "request", s.Incident)
-}
-
 // crashKeys returns the prefix of the keys of all crashes under a request.
 func crashKeys(fingerprint uint64) string {
 	return crashesPrefix + formatFingerprint(fingerprint) + "/"
--- a/cowslipentry/loop.go
+++ b/cowslipentry/loop.go
@@ -51,7 +51,7 @@
 	}
 	for _, s := range x.Crashes {
 		e.metrics.crashes.Add(1)
-		e.runInBackground(func(ctx context.Context) { e.shareCrash(ctx, s) })
+		e.shareCrash(s)
 	}
 	for _, m := range x.Started {
 		e.startThrottled("started/"+m.ID(), moveRecordRetryInterval, func(ctx context.Context) { e.recordMoveState(ctx, m, MoveRunning) })
