Show which targets state a request limit

On-call engineers could not see that a target had stated how many requests a second it takes. The limit is read from each answer of a target, with events at its start and end and a count of such targets. Nothing keeps it yet.

--- a/cowslipcontrol/membership.go
+++ b/cowslipcontrol/membership.go
@@ -41,6 +41,8 @@
 	ejectedUntil    time.Time
 	backoff         time.Duration
 	lastSuccess     time.Time
+	requestLimit    float64   // requests per second that the target takes from all instances, 0 for no limit
+	limitStatedAt   time.Time // when a response last stated it
 	seq             uint64
 }
 
--- a/cowslipcontrol/report.go
+++ b/cowslipcontrol/report.go
@@ -36,7 +36,7 @@
 type Counts struct {
 	Revision uint64         `json:"revision"` // of the configuration in force
 	Peers    int            `json:"peers"`    // other instances that are not gone
-	Targets  map[string]int `json:"targets"`  // by state: open, closed, ejected, cutOff, leaving
+	Targets  map[string]int `json:"targets"`  // by state: open, closed, ejected, cutOff, leaving; those that state a request limit also as limited
 }
 
 // Counts counts the peers, and the targets by state.
@@ -47,6 +47,9 @@
 	}
 	for i := range c.targets {
 		t := &c.targets[i]
+		if t.requestLimit > 0 && !t.leaving() {
+			n.Targets["limited"]++
+		}
 		switch {
 		case t.leaving():
 			n.Targets["leaving"]++
--- a/cowslipcontrol/sample.go
+++ b/cowslipcontrol/sample.go
@@ -49,6 +49,7 @@
 	if s.Report.Incarnation != "" {
 		c.report(s.At, t, s.Report)
 	}
+	c.observeRequestLimit(t, s)
 	c.observeService(s)
 	c.observeReachability(s)
 	if s.Outcome == cowsliptarget.OK {
--- a/cowsliptarget/message.go
+++ b/cowsliptarget/message.go
@@ -29,6 +29,10 @@
 	Queued      int       `json:"queued"`
 	Slots       int       `json:"slots"`
 	Holdings    []Holding `json:"holdings,omitempty"`
+
+	// RequestLimit is how many requests per second the target takes from all entry
+	// instances together, 0 for no limit. It applies as long as responses state it.
+	RequestLimit float64 `json:"requestLimit,omitempty"`
 }
 
 // Search asks for one shard of an index version. It is idempotent.
