Keep the request limits that targets state, over all instances

Each instance now takes its part at a steady pace; requests that cannot get enough parts in time are refused at once as not run, with the time until targets take some; hedges go to no paced target.

--- a/cowslipcontrol/limits.go
+++ b/cowslipcontrol/limits.go
@@ -47,7 +47,7 @@
 			t.handle.Resume(t.suspensionToEnd)
 			t.suspensionToEnd = 0
 		}
-		limit, keep := c.limit(now, t, c.sharers(t, all, direct))
+		limit, keep := c.limit(now, t, c.sharers(t, all, direct), all)
 		t.handle.SetLimit(limit)
 		t.handle.SetMaxIdleConns(keep)
 	}
@@ -103,11 +103,11 @@
 
 // limit returns how many requests may be in flight at a target, and how many idle
 // connections to it may be kept open.
-func (c *Control) limit(now time.Time, t *target, sharers senderGroup) (limit, keep int) {
+func (c *Control) limit(now time.Time, t *target, sharers, all senderGroup) (limit, keep int) {
 	if !c.usable(t) || t.ejected && now.Before(t.ejectedUntil) {
 		return 0, 0
 	}
-	limit, keep = c.limitBeforeEjection(now, t, sharers)
+	limit, keep = c.limitBeforeEjection(now, t, sharers, all)
 	if t.ejected {
 		return min(limit, 1), keep
 	}
@@ -129,9 +129,9 @@
 	return c.serving(t) && t.handle.Suspension() == 0 && c.ensureDomain(t.handle.Info().FailureDomain).cutSince.IsZero()
 }
 
-func (c *Control) limitBeforeEjection(now time.Time, t *target, sharers senderGroup) (limit, keep int) {
+func (c *Control) limitBeforeEjection(now time.Time, t *target, sharers, all senderGroup) (limit, keep int) {
 	limit, keep = c.limitBeforePacing(now, t, sharers)
-	return min(limit, c.paceLimit(now, t, sharers, limit)), keep
+	return min(limit, c.paceLimit(now, t, sharers, all, limit)), keep
 }
 
 func (c *Control) limitBeforePacing(now time.Time, t *target, sharers senderGroup) (limit, keep int) {
@@ -222,7 +222,7 @@
 					continue
 				}
 				for _, t := range e {
-					limit, _ := c.limitBeforeEjection(now, t, c.sharers(t, all, direct))
+					limit, _ := c.limitBeforeEjection(now, t, c.sharers(t, all, direct), all)
 					t.handle.SetLimit(min(1, limit))
 				}
 			}
--- a/cowslipcontrol/requestlimit.go
+++ b/cowslipcontrol/requestlimit.go
@@ -2,10 +2,23 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
+	"time"
 
 	"cowslipflow/cowsliptarget"
 )
 
+const (
+	// limitTTL is how long a target's request limit applies after a response last stated
+	// it, or up to twice as long. An instance that has no part of the limit sends nothing
+	// and cannot see its end; it finds out by a request, each at another time.
+	limitTTL = 30 * time.Second
+	// sendersPerRequest is how many instances at most share each request per second of a
+	// limit, so that those that have saved up one each do not exceed it together.
+	sendersPerRequest = 2
+)
+
 // observeRequestLimit handles the request limit that a target's response states, or its
 // absence, which ends the limit. The response to a request that was sent before the target
 // last stated the limit does not end it.
@@ -25,13 +38,53 @@
 	if limit == t.requestLimit {
 		return
 	}
-	i := t.handle.Info()
-	switch {
-	case limit == 0:
-		c.o.Event("targetUnlimited", i.ID, "service "+i.Service)
-	case t.requestLimit == 0:
+	c.limitsDirty = true
+	if limit == 0 {
+		c.endRequestLimit(t)
+		return
+	}
+	if t.requestLimit == 0 {
+		i := t.handle.Info()
 		c.o.Event("targetLimited", i.ID, fmt.Sprintf("service %s takes %g requests per second from all instances", i.Service, limit))
 	}
 	t.requestLimit = limit
-	c.limitsDirty = true
+}
+
+// limitShare returns this instance's part of the request limit that a target states, or
+// false if there is no limit. Where some instances pass wide requests on, these have only
+// relayReserveShare of the limits of shards, for use while they reach no relay.
+func (c *Control) limitShare(now time.Time, t *target, sharers, all senderGroup) (float64, bool) {
+	if t.requestLimit == 0 {
+		return 0, false
+	}
+	id := t.handle.Info().ID
+	until := t.limitStatedAt.Add(time.Duration((1 + float64(rendezvousScore(id, c.o.ID))/math.MaxUint64) * float64(limitTTL)))
+	if !now.Before(until) {
+		c.endRequestLimit(t)
+		return 0, false
+	}
+	c.scheduleLimits(until)
+	limit, ids := t.requestLimit, sharers.ids
+	if relaying := len(all.ids) - len(sharers.ids); relaying > 0 {
+		limit *= 1 - relayReserveShare
+		if len(sharers.ids) == 0 {
+			limit, ids = t.requestLimit*relayReserveShare, c.relayingSenders(all)
+		}
+	}
+	senders := max(min(int(limit*sendersPerRequest), len(ids)), 1)
+	if !c.amongFirst(id, ids, senders) {
+		return 0, true
+	}
+	return limit / float64(senders), true
+}
+
+// relayingSenders returns the instances that pass wide requests on.
+func (c *Control) relayingSenders(all senderGroup) []string {
+	direct := c.directSenders().ids
+	return slices.DeleteFunc(slices.Clone(all.ids), func(id string) bool { return slices.Contains(direct, id) })
+}
+
+func (c *Control) endRequestLimit(t *target) {
+	t.requestLimit = 0
+	c.o.Event("targetUnlimited", t.handle.Info().ID, "service "+t.handle.Info().Service)
 }
--- /dev/null
+++ b/cowslipcontrol/requestlimit_test.go
@@ -0,0 +1,129 @@
+package cowslipcontrol_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cowslipflow/cowslipcontrol"
+	"cowslipflow/cowslipplatform"
+	"cowslipflow/cowsliproute"
+	"cowslipflow/cowsliptarget"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Pattern: a rate limit shared without coordination. All instances send as many requests as
+// they can to a target that states a limit, while instances leave and new ones start. In any
+// 4 s, the target may get one and a half times its limit and 5 requests, and its limit should
+// be used. Once it states no limit, all of its load returns.
+func TestRequestLimitIsSharedByInstances(t *testing.T) {
+	for _, x := range []struct {
+		instances int
+		limit     float64
+	}{{1, 20}, {7, 20}, {7, 1.5}, {7, 0.4}, {60, 4}, {60, 40}, {195, 20}} {
+		t.Run(fmt.Sprint(x), func(t *testing.T) {
+			const span = 4 * time.Second
+			now := t0
+			r := rand.New(rand.NewPCG(1, 2))
+			var nodes []*cowslipcontrol.Control
+			add := func(id string) {
+				c := cowslipcontrol.New(cowslipcontrol.Options{ID: id, FailureDomain: "cerro", ListOnly: true}, now)
+				require.True(t, c.Offer(cowslipcontrol.Accepted{Revision: 1, Text: sixShardConfig}, "test"))
+				c.UpdateTargets(now, []cowslipplatform.Instance{{ID: "full", Addr: "full", Service: "s0", FailureDomain: "cerro", Version: "v1", Slots: 6, Incarnation: "1"}})
+				nodes = append(nodes, c)
+			}
+			join := func() {
+				var l []cowslipcontrol.Member
+				for _, c := range nodes {
+					l = append(l, cowslipcontrol.Member{ID: c.ID(), FailureDomain: "cerro", Addr: c.ID()})
+				}
+				for _, c := range nodes {
+					c.UpdateMembers(now, l)
+				}
+			}
+			for i := range x.instances {
+				add(fmt.Sprint("e", i))
+			}
+			join()
+			limit := x.limit
+			told := map[*cowslipcontrol.Control]time.Time{}
+			var sent []time.Time // by instances that were told half a second before
+			step := 20 * time.Millisecond
+			saturate := func(d time.Duration) {
+				for end := now.Add(d); now.Before(end); now = now.Add(step) {
+					for _, c := range nodes {
+						c.Tick(now)
+						h := c.View().Target("full")
+						got := c.View().Pick([]*cowsliproute.Target{h}, cowsliproute.PickOptions{Now: now}, r)
+						if got == nil {
+							continue
+						}
+						got.Release()
+						if at, ok := told[c]; !ok || now.Sub(at) >= 500*time.Millisecond {
+							sent = append(sent, now)
+						}
+						if _, ok := told[c]; !ok {
+							told[c] = now
+						}
+						c.Observe(cowslipcontrol.Sample{Target: h, Latency: 5 * time.Millisecond, At: now.Add(5 * time.Millisecond), Report: cowsliptarget.Report{RequestLimit: limit}})
+					}
+				}
+			}
+			saturate(span)
+			sent = nil
+			began := now
+			saturate(3 * span)
+			if x.instances > 1 {
+				delete(told, nodes[0])
+				nodes = nodes[1:]
+				join()
+				saturate(span)
+				add("new")
+				join()
+				saturate(2 * span)
+			}
+			saturate(span)
+			for i, a := range sent {
+				n := 0
+				for _, b := range sent[i:] {
+					if b.Sub(a) <= span {
+						n++
+					}
+				}
+				require.LessOrEqual(t, float64(n), 1.5*x.limit*span.Seconds()+5)
+			}
+			rate := float64(len(sent)) / now.Sub(began).Seconds()
+			t.Logf("%.1f requests a second", rate)
+			require.Greater(t, rate, 0.8*x.limit)
+			limit, step = 0, time.Second
+			saturate(2 * time.Minute)
+			sent, step = nil, 20*time.Millisecond
+			saturate(time.Second)
+			require.Greater(t, len(sent), 45*len(nodes), "no limit is stated any more")
+		})
+	}
+}
+
+// Guards against a limit that an old answer ends: the target states it again in the next
+// one, and each time all instances begin anew.
+func TestOldAnswerDoesNotEndARequestLimit(t *testing.T) {
+	now := t0
+	c := cowslipcontrol.New(cowslipcontrol.Options{ID: "e1", FailureDomain: "cerro", ListOnly: true}, now)
+	require.True(t, c.Offer(cowslipcontrol.Accepted{Revision: 1, Text: sixShardConfig}, "test"))
+	c.UpdateTargets(now, []cowslipplatform.Instance{{ID: "full", Addr: "full", Service: "s0", FailureDomain: "cerro", Version: "v1", Slots: 6, Incarnation: "1"}})
+	c.Tick(now)
+	h := c.View().Target("full")
+	answered := func(latency time.Duration, o cowsliptarget.Outcome, limit float64) int {
+		now = now.Add(10 * time.Millisecond)
+		c.Observe(cowslipcontrol.Sample{Target: h, Outcome: o, Latency: latency, At: now, Report: cowsliptarget.Report{RequestLimit: limit}})
+		c.Tick(now)
+		return c.Counts().Targets["limited"]
+	}
+	require.Equal(t, 1, answered(time.Millisecond, cowsliptarget.Shed, 2))
+	require.Equal(t, 1, answered(time.Second, cowsliptarget.OK, 0), "sent before the limit was stated")
+	require.Equal(t, 1, answered(time.Millisecond, cowsliptarget.Lost, 0), "no answer")
+	require.Equal(t, 1, answered(time.Millisecond, cowsliptarget.Leaving, 0), "the answer of another target")
+	require.Equal(t, 0, answered(time.Millisecond, cowsliptarget.OK, 0))
+}
--- a/cowslipentry/forward.go
+++ b/cowslipentry/forward.go
@@ -133,8 +133,8 @@
 		}
 		o.Parts = append(o.Parts, p)
 	}
-	if n := countEligible(o.Parts); n < max(o.MinParts, 1) {
-		return notRunReply("too few services have a target that may be asked", f.retryAfter())
+	if x, ok := f.refuseHopeless(o); ok {
+		return x
 	}
 	f.dispatch = cowslipquery.NewDispatch(o)
 	f.results, f.done = make(chan forwardResult, len(o.Parts)), make(chan struct{})
@@ -252,17 +252,6 @@
 	}
 }
 
-// countEligible counts the parts of which some replica may be asked.
-func countEligible(l []cowslipquery.DispatchPart) int {
-	n := 0
-	for _, p := range l {
-		if slices.ContainsFunc(p.Replicas, p.Eligible) {
-			n++
-		}
-	}
-	return n
-}
-
 // runDispatch runs the Dispatch until the answer is closed. If the caller
 // disconnects first, it cancels the attempts in flight and returns.
 func (f *forward) runDispatch(ctx context.Context) {
--- /dev/null
+++ b/cowslipentry/forwardadmission.go
@@ -0,0 +1,28 @@
+package cowslipentry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cowslipflow/cowslipquery"
+)
+
+// returnSpread spreads the callers that are told to come back when a target takes requests
+// again: each waits up to this share longer.
+const returnSpread = 0.5
+
+// refuseHopeless refuses a request that surely cannot be served, before any part of it uses
+// up what targets take: too few parts have a target that may be asked, now or in time.
+func (f *forward) refuseHopeless(o cowslipquery.DispatchOptions) (Reply, bool) {
+	now := f.clock.Now()
+	d, ok := o.StartDelay(now)
+	switch {
+	case !ok:
+		return notRunReply("too few services have a target that may be asked", f.retryAfter()), true
+	case d == 0 || !now.Add(d).After(o.CapacityDeadline):
+		return Reply{}, false
+	}
+	f.metrics.refusedForPace.Add(1)
+	d += time.Duration(rand.Float64() * returnSpread * float64(d))
+	return notRunReply("too few services have a target that takes a request now", max(d, shortRetryAfter)), true
+}
--- a/cowslipentry/forwardlearn.go
+++ b/cowslipentry/forwardlearn.go
@@ -25,7 +25,7 @@
 	if r.Slots > 0 {
 		t.SetLoad(r.Running + r.Queued)
 	}
-	s := cowslipcontrol.Sample{Target: t, Route: f.route.Config().Name(), Outcome: x.outcome, Latency: d, At: now}
+	s := cowslipcontrol.Sample{Target: t, Route: f.route.Config().Name(), Outcome: x.outcome, Report: r, Latency: d, At: now}
 	s.GivenUp = x.outcome == cowsliptarget.NotSent && ctx.Err() != nil
 	s.TimedOut = x.outcome == cowsliptarget.Cancelled && ctx.Err() == context.DeadlineExceeded
 	switch x.outcome {
--- a/cowslipentry/metrics.go
+++ b/cowslipentry/metrics.go
@@ -26,6 +26,7 @@
 	refusedForLoad    *expvar.Int
 	subRequestsNeeded *expvar.Int // sub-requests needed for the answers, without retries and hedges
 	subRequestsSent   *expvar.Int // sub-requests sent, including retries and hedges
+	refusedForPace    *expvar.Int // requests refused at once since targets take none in time
 	crashes           *expvar.Int
 	crashesNotShared  *expvar.Int // failed attempts to tell the other instances of a crash
 	reruns            *expvar.Int // queries run again because the view was stale
@@ -58,6 +59,7 @@
 	m.vars.Set("instance", s)
 	m.queries, m.incomplete, m.records, m.refusedForLoad = n("queries"), n("queriesIncomplete"), n("records"), n("refusedForLoad")
 	m.subRequestsNeeded, m.subRequestsSent, m.crashes, m.reruns = n("subRequestsNeeded"), n("subRequestsSent"), n("targetCrashes"), n("reruns")
+	m.refusedForPace = n("refusedForPace")
 	m.crashesNotShared = n("targetCrashesNotShared")
 	m.probes, m.exchanges, m.ticks, m.tickNanos = n("probes"), n("exchanges"), n("ticks"), n("tickNanos")
 	m.storeCalls = n("storeCalls")
--- a/cowslipquery/dispatchoptions.go
+++ b/cowslipquery/dispatchoptions.go
@@ -23,6 +23,21 @@
 	return t.Available() && slices.ContainsFunc(p.Versions.Sets(), func(s cowsliproute.VersionSet) bool { return s.Allows(t.Info().Version) })
 }
 
+// delay returns how long after now a replica may be asked for the part, as far as the pace of
+// the replicas tells. It reports false if none may be asked at all.
+func (p DispatchPart) delay(now time.Time) (time.Duration, bool) {
+	least, ok := time.Duration(0), false
+	for _, t := range p.Replicas {
+		if !p.Eligible(t) {
+			continue
+		}
+		if d := t.PaceDelay(now); !ok || d < least {
+			least, ok = d, true
+		}
+	}
+	return least, ok
+}
+
 // DispatchOptions configure a Dispatch. View, Parts, CloseAt and Rand are required.
 type DispatchOptions struct {
 	View            *cowsliproute.View
@@ -51,6 +66,24 @@
 	CapacityDeadline time.Time
 }
 
+// StartDelay returns how long after now a Dispatch could send at least MinParts of its parts,
+// or one, as far as the pace of the replicas tells. It reports false if too few parts have a
+// replica that may be asked at all.
+func (o DispatchOptions) StartDelay(now time.Time) (time.Duration, bool) {
+	var l []time.Duration
+	for _, p := range o.Parts {
+		if d, ok := p.delay(now); ok {
+			l = append(l, d)
+		}
+	}
+	n := max(o.MinParts, 1)
+	if len(l) < n {
+		return 0, false
+	}
+	slices.Sort(l)
+	return l[n-1], true
+}
+
 // DispatchAction tells the caller of a Dispatch to send part Part to Target or, if
 // Target is nil, to cancel attempt Attempt. The caller must call Target.Release when
 // an attempt ends.
--- a/cowsliproute/target.go
+++ b/cowsliproute/target.go
@@ -66,18 +66,32 @@
 // Limit returns how many requests this process may have in flight at the target.
 func (t *Target) Limit() int { return int(t.limit.Load()) }
 
-// SetPace limits the rate at which this process sends requests to the target, without
-// bursts. A rate of 0 removes the limit.
-func (t *Target) SetPace(perSecond float64) {
+// SetPace limits the rate at which this process sends requests to the target. At most
+// burst of them, or one, are sent at once. A rate of 0 removes the limit.
+func (t *Target) SetPace(now time.Time, perSecond float64, burst int) {
 	p := t.pace.Load()
 	switch {
 	case perSecond <= 0:
 		t.pace.Store(nil)
-	case p == nil || p.Limit() != rate.Limit(perSecond):
-		t.pace.Store(rate.NewLimiter(rate.Limit(perSecond), 1))
+	case p == nil:
+		t.pace.Store(rate.NewLimiter(rate.Limit(perSecond), max(burst, 1)))
+	case p.Limit() != rate.Limit(perSecond):
+		// What has accrued stays, so that a change of the rate allows no new burst.
+		p.SetLimitAt(now, rate.Limit(perSecond))
+		p.SetBurstAt(now, max(burst, 1))
 	}
 }
 
+// PaceDelay returns how long after now the target's pace allows the next request.
+func (t *Target) PaceDelay(now time.Time) time.Duration {
+	p := t.pace.Load()
+	if p == nil {
+		return 0
+	}
+	missing := 1 - p.TokensAt(now)
+	return time.Duration(max(missing, 0) / float64(p.Limit()) * float64(time.Second))
+}
+
 // SetMaxIdleConns sets how many idle connections this process may keep open to the
 // target.
 func (t *Target) SetMaxIdleConns(n int) { t.maxIdleConns.Store(int64(n)) }
@@ -225,9 +239,9 @@
 }
 
 // hasFreeSlot reports whether Acquire would succeed and, as far as the load is known,
-// the request would not have to queue at the target.
+// the request would not have to queue at the target. A paced target has none to spare.
 func (t *Target) hasFreeSlot() bool {
-	return t.hasCapacity() && t.effectiveLoad() < int64(max(t.info.Slots, 1))
+	return t.hasCapacity() && t.pace.Load() == nil && t.effectiveLoad() < int64(max(t.info.Slots, 1))
 }
 
 // effectiveLoad returns the greater of the load that the target reported and the number
