Ignore entries of targets that no configuration or connection can use

What callers saw, in a test: an entry of another writer among those of the targets whose zone is not a name kept all instances from taking a new configuration, so that its routes were answered 404. Cause: the zones of all entries go into the text that is parsed as the configuration, and one bad name rejects the whole. Others were used as targets: ports out of range, names in place of addresses, numbers that do not fit an integer (1e300 slots). Deep nesting and numbers too large for a float were ignored before. No process ended. The class: input checked for its type alone.

Such an entry is now left out and named in the log; so is an order to take out a zone whose name is none.

--- a/cowslipconfig/check.go
+++ b/cowslipconfig/check.go
@@ -82,11 +82,14 @@
 	return c
 }
 
+// IsName reports whether a configuration may use a string as a name.
+func IsName(s string) bool { return namePattern.MatchString(s) }
+
 func (k *checker) checkName(path, name string, seen map[string]bool) {
 	switch {
 	case name == "":
 		k.add(path+".name", "missing", "give a name")
-	case !namePattern.MatchString(name):
+	case !IsName(name):
 		k.add(path+".name", fmt.Sprintf("invalid name %q", name), "start with a lowercase letter, followed by letters, digits, dots and hyphens; 63 characters at most")
 	case seen[name]:
 		k.add(path+".name", fmt.Sprintf("duplicate name %q", name), "give each one a unique name")
