Test that an answer that breaks off in its head is not taken for whole

Other operators saw a 200 with a short body, framed as whole, from an answer cut in its head. Not possible here: each of four heads, cut after each byte, ends as lost or malformed.

--- a/cowsliptarget/forwarder_test.go
+++ b/cowsliptarget/forwarder_test.go
@@ -80,6 +80,22 @@
 	return cowsliptarget.NewForwarder(cowsliptarget.ForwarderOptions{IDHeader: "X-Id"})
 }
 
+// Guards against an answer that breaks off in its head and looks like a whole one with a short
+// or an empty body.
+func TestHeadsThatBreakOff(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Stamp: abc\r\nContent-Length: 12\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-Id: q1\r\nConnection: close\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 503 Service Unavailable\r\nX-Id: q1\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for n := range len(head) {
+			_, o := forward(newForwarder(), startScriptedTarget(t, []string{head[:n] + "|close"}), "q1", "body")
+			require.Contains(t, []cowsliptarget.Outcome{cowsliptarget.Lost, cowsliptarget.Corrupt}, o, head[:n])
+		}
+	}
+}
+
 func TestForwardedAnswers(t *testing.T) {
 	for _, c := range []struct {
 		name, script string
