End a stop with an answer for every request, and refuse those that come too late

Other operators saw requests that came late in a planned stop taken, passed on and cut at the end of the grace. Cause: requests kept their own deadline, whatever the instance had left. The class: a limit of one clock not applied to the other.

A stopping instance now refuses as not run what has less than two latency targets left, and 0.2 s before connections are cut every request ends: with the parts that are in, if they are enough, else as failed. Requests that a relay serves end likewise.

--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -37,6 +37,10 @@
 	connSweepInterval = time.Second
 	bufferDivisor     = 4                      // messages may hold 1/4 of the memory; copies and unused allocations take as much again
 	graceMargin       = 700 * time.Millisecond // time to deregister before the grace period ends
+	lastAnswerMargin  = 200 * time.Millisecond // time to write the last answers before connections are cut
+	// stopLatencyTargets is how many latency targets of its route a request needs to be
+	// accepted by an instance that is stopping.
+	stopLatencyTargets = 2
 )
 
 // Options configures an Entry. ID, FailureDomain, the listeners and Store are
@@ -115,6 +119,9 @@
 	metrics      *Metrics
 	ctx          context.Context
 	cancel       context.CancelFunc
+	answering    context.Context // ends when a stopping instance must answer all requests
+	endAnswering context.CancelFunc
+	answerBy     atomic.Pointer[time.Time] // when that is, nil before the stop
 	leaseID      atomic.Uint64
 
 	mirror        *cowslipmirror.Mirror
@@ -170,6 +177,7 @@
 	e.forwarder = cowsliptarget.NewForwarder(cowsliptarget.ForwarderOptions{IDHeader: o.Wire.IDHeader, Dial: o.Dial, Buffers: e.buffers})
 	e.relayer = &cowslippeer.Relayer{Dial: o.Dial}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.answering, e.endAnswering = context.WithCancel(e.ctx)
 	e.client = cowsliptarget.NewClient(cowsliptarget.Options{OnDisconnect: e.onDisconnect, Dial: o.Dial})
 	e.control = cowslipcontrol.New(cowslipcontrol.Options{
 		ID: o.ID, FailureDomain: o.FailureDomain, Capacity: o.Capacity, Addr: o.Advertise, Incarnation: e.incarnation,
@@ -273,6 +281,7 @@
 	callers.Drain()
 	if e.opts.Edge != nil {
 		e.runInBackground(e.leave)
+		e.limitAnswers(began)
 	}
 	e.sleep(e.ctx, e.opts.DrainWait)
 	e.do(func(_ time.Time, c *cowslipcontrol.Control) { c.Leave() })
@@ -299,6 +308,18 @@
 	e.event("instanceStopped", e.opts.ID, finished)
 }
 
+// limitAnswers makes all requests end before the grace period, which began at began, cuts
+// their connections. Those that have no answer by then fail.
+func (e *Entry) limitAnswers(began time.Time) {
+	left := max(e.graceLeft(began)-lastAnswerMargin, 0)
+	by := e.clock.Now().Add(left)
+	e.answerBy.Store(&by)
+	e.runInBackground(func(ctx context.Context) {
+		e.sleep(ctx, left)
+		e.endAnswering()
+	})
+}
+
 // leave removes this instance from the list of entry instances by releasing its
 // lease.
 func (e *Entry) leave(ctx context.Context) {
--- a/cowslipentry/forward.go
+++ b/cowslipentry/forward.go
@@ -122,6 +122,9 @@
 	if f.suspicion.Verdict == cowsliproute.Quarantined {
 		return notRunReply("the request has crashed targets and is held", quarantineRetryAfter)
 	}
+	if f.tooLateToServe() {
+		return notRunReply("the instance is stopping and has too little time left", shortRetryAfter)
+	}
 	if x, ok := f.relay(ctx); ok {
 		return x
 	}
@@ -252,8 +255,8 @@
 	}
 }
 
-// runDispatch runs the Dispatch until the answer is closed. If the caller
-// disconnects first, it cancels the attempts in flight and returns.
+// runDispatch runs the Dispatch until the answer is closed. If the caller disconnects first,
+// or a stop of the instance ends, it cancels the attempts in flight and returns.
 func (f *forward) runDispatch(ctx context.Context) {
 	defer close(f.done)
 	f.execute(f.dispatch.Start(f.clock.Now()))
@@ -267,15 +270,23 @@
 			f.execute(f.dispatch.Tick(f.clock.Now()))
 		case <-ctx.Done():
 			t.Stop()
-			for _, c := range f.cancels {
-				c()
-			}
+			f.cancelAttempts()
+			return
+		case <-f.answering.Done():
+			t.Stop()
+			f.cancelAttempts()
 			return
 		}
 		t.Stop()
 	}
 }
 
+func (f *forward) cancelAttempts() {
+	for _, c := range f.cancels {
+		c()
+	}
+}
+
 func (f *forward) handleResult(x forwardResult) []cowslipquery.DispatchAction {
 	f.attempts[x.attempt] = x
 	return f.dispatch.AttemptEnded(f.clock.Now(), x.attempt, x.outcome, false)
--- a/cowslipentry/forwardadmission.go
+++ b/cowslipentry/forwardadmission.go
@@ -11,6 +11,13 @@
 // again: each waits up to this share longer.
 const returnSpread = 0.5
 
+// tooLateToServe reports whether the instance is stopping and would probably have to end the
+// request without an answer.
+func (f *forward) tooLateToServe() bool {
+	by := f.answerBy.Load()
+	return by != nil && by.Sub(f.clock.Now()) < stopLatencyTargets*f.route.Config().LatencyTarget()
+}
+
 // refuseHopeless refuses a request that surely cannot be served, before any part of it uses
 // up what targets take: too few parts have a target that may be asked, now or in time.
 func (f *forward) refuseHopeless(o cowslipquery.DispatchOptions) (Reply, bool) {
--- a/cowslipentry/relay.go
+++ b/cowslipentry/relay.go
@@ -64,6 +64,7 @@
 	// the timeout is left for the answer to travel to this instance.
 	t, cancel := context.WithDeadline(ctx, f.closeAt.Add(f.closeMargin()/2))
 	defer cancel()
+	defer context.AfterFunc(f.answering, cancel)()
 	r.RequestStarted(f.clock.Now())
 	x, err := f.relayer.Relay(t, r.Addr(), f.encodeRelayRequest(), relayAcceptTimeout)
 	r.RequestEnded(f.clock.Now())
