Leave a target alone once its answers say that it leaves

Nothing read the header; a target that answered for another (421) was left alone only until its entry next changed. An answer that says so now counts until the target's next run, whatever its entry says.

--- a/cowslipcontrol/sample.go
+++ b/cowslipcontrol/sample.go
@@ -49,6 +49,10 @@
 	if s.Report.Incarnation != "" {
 		c.report(s.At, t, s.Report)
 	}
+	if s.Report.Leaving && s.Report.Incarnation == "" && !t.selfLeaving {
+		t.selfLeaving = true
+		c.updateLeaving(t, "reported leaving in a response")
+	}
 	c.observeRequestLimit(t, s)
 	c.observeService(s)
 	c.observeReachability(s)
