Send nothing to a target for the time that it asks for

Nothing read the header of a target's refusal: with one target left, it got 145 requests in a pause of 3 s (TestTargetAsksForAPauseThroughProcesses, red before, green now).

The pause holds for all requests of the instance. Callers whose requests no target takes in time are refused at once as not run, with the time until one does, spread by up to half; before, they were told 50 ms (TestRequestIsRefusedWhileAllTargetsPauseThroughProcesses, red before). A refusal of a shard's last replica is not waited for beyond the time left.

--- a/cowslipentry/edge.go
+++ b/cowslipentry/edge.go
@@ -69,6 +69,10 @@
 	Outcome   cowsliptarget.Outcome
 	Signature string // the target's signature of the response, empty if there is none
 	Report    cowsliptarget.Report
+
+	// RetryAfter is how long the target wants no requests from this instance, 0 if it
+	// does not say.
+	RetryAfter time.Duration
 }
 
 // Request is a caller's request to be forwarded according to the configured routes.
--- a/cowslipentry/forward.go
+++ b/cowslipentry/forward.go
@@ -59,6 +59,7 @@
 	start    time.Time
 	closeAt  time.Time // latest time at which the answer closes, complete or not; later parts are not awaited
 	dispatch *cowslipquery.Dispatch
+	options  cowslipquery.DispatchOptions // of dispatch
 
 	fingerprint uint64 // of the request's content and caller; the same each time the caller sends it
 	family      uint64 // of requests that may crash targets for the same reason
@@ -139,6 +140,7 @@
 	if x, ok := f.refuseHopeless(o); ok {
 		return x
 	}
+	f.options = o
 	f.dispatch = cowslipquery.NewDispatch(o)
 	f.results, f.done = make(chan forwardResult, len(o.Parts)), make(chan struct{})
 	f.runDispatch(ctx)
@@ -391,7 +393,7 @@
 func (f *forward) failureReply(reason string) Reply {
 	switch {
 	case f.dispatch != nil && f.dispatch.NotRun():
-		return notRunReply(reason, shortRetryAfter)
+		return notRunReply(reason, f.returnDelay())
 	case !f.clock.Now().Before(f.closeAt):
 		return Reply{Kind: ReplyTimeout, Reason: reason}
 	}
--- a/cowslipentry/forwardadmission.go
+++ b/cowslipentry/forwardadmission.go
@@ -30,6 +30,18 @@
 		return Reply{}, false
 	}
 	f.metrics.refusedForPace.Add(1)
-	d += time.Duration(rand.Float64() * returnSpread * float64(d))
-	return notRunReply("too few services have a target that takes a request now", max(d, shortRetryAfter)), true
+	return notRunReply("too few services have a target that takes a request now", spreadReturn(d)), true
+}
+
+// returnDelay returns how long the caller of a request that did not run is told to wait:
+// until enough targets take requests again.
+func (f *forward) returnDelay() time.Duration {
+	d, _ := f.options.StartDelay(f.clock.Now())
+	return spreadReturn(d)
+}
+
+// spreadReturn returns a delay of d or somewhat more, so that callers do not come back at
+// the same time.
+func spreadReturn(d time.Duration) time.Duration {
+	return max(d+time.Duration(rand.Float64()*returnSpread*float64(d)), shortRetryAfter)
 }
--- a/cowslipentry/forwardlearn.go
+++ b/cowslipentry/forwardlearn.go
@@ -22,6 +22,10 @@
 	if r.Leaving {
 		t.SetLeaving(true)
 	}
+	if x.info.RetryAfter > 0 {
+		t.Pause(now.Add(x.info.RetryAfter))
+		f.log.Info("target paused", "id", f.request.ID, "target", t.Info().ID, "forMillis", x.info.RetryAfter.Milliseconds())
+	}
 	if r.Slots > 0 {
 		t.SetLoad(r.Running + r.Queued)
 	}
--- a/cowslipquery/dispatchoptions.go
+++ b/cowslipquery/dispatchoptions.go
@@ -23,15 +23,15 @@
 	return t.Available() && slices.ContainsFunc(p.Versions.Sets(), func(s cowsliproute.VersionSet) bool { return s.Allows(t.Info().Version) })
 }
 
-// delay returns how long after now a replica may be asked for the part, as far as the pace of
-// the replicas tells. It reports false if none may be asked at all.
+// delay returns how long after now a replica may be asked for the part, as far as the pace and
+// the pauses of the replicas tell. It reports false if none may be asked at all.
 func (p DispatchPart) delay(now time.Time) (time.Duration, bool) {
 	least, ok := time.Duration(0), false
 	for _, t := range p.Replicas {
 		if !p.Eligible(t) {
 			continue
 		}
-		if d := t.PaceDelay(now); !ok || d < least {
+		if d := t.SendDelay(now); !ok || d < least {
 			least, ok = d, true
 		}
 	}
@@ -67,7 +67,7 @@
 }
 
 // StartDelay returns how long after now a Dispatch could send at least MinParts of its parts,
-// or one, as far as the pace of the replicas tells. It reports false if too few parts have a
+// or one, as far as the pace and the pauses of the replicas tell. It reports false if too few parts have a
 // replica that may be asked at all.
 func (o DispatchOptions) StartDelay(now time.Time) (time.Duration, bool) {
 	var l []time.Duration
--- a/cowslipquery/shedretry.go
+++ b/cowslipquery/shedretry.go
@@ -12,8 +12,8 @@
 const shedRetryDivisor = 4
 
 // retryShed makes the replicas that refused a part for load available to it again
-// after a pause. It reports whether there are any, and whether the time left and
-// maxSends allow another request.
+// after a pause, except those that take nothing in the time left. It reports whether there
+// are any, and whether the time left and maxSends allow another request.
 func (d *Dispatch) retryShed(now time.Time, p *partState) bool {
 	if !d.options.RetryShed || len(p.shedBy) == 0 || p.sends >= d.maxSends() {
 		return false
@@ -25,6 +25,10 @@
 	if !now.Before(by) {
 		return false
 	}
+	p.shedBy = slices.DeleteFunc(p.shedBy, func(t *cowsliproute.Target) bool { return now.Add(t.SendDelay(now)).After(by) })
+	if len(p.shedBy) == 0 {
+		return false
+	}
 	p.shedRetryAt = now.Add(by.Sub(now) / shedRetryDivisor)
 	p.tried = slices.DeleteFunc(p.tried, func(t *cowsliproute.Target) bool { return slices.Contains(p.shedBy, t) })
 	p.shedBy = nil
--- a/cowsliproute/target.go
+++ b/cowsliproute/target.go
@@ -51,6 +51,7 @@
 
 	incarnation  atomic.Pointer[string]
 	pace         atomic.Pointer[rate.Limiter] // limits the rate of requests to a cold target; nil for no limit
+	pausedUntil  atomic.Int64                 // in monotonic nanoseconds, 0 if the target never asked for a pause
 	lastProgress atomic.Int64                 // when a request last ended, or was sent while none was in flight; in monotonic nanoseconds
 }
 
@@ -82,14 +83,31 @@
 	}
 }
 
-// PaceDelay returns how long after now the target's pace allows the next request.
-func (t *Target) PaceDelay(now time.Time) time.Duration {
-	p := t.pace.Load()
-	if p == nil {
+// Pause stops new requests until the given time. A shorter pause does not end a longer one.
+func (t *Target) Pause(until time.Time) {
+	u := monotonicNanos(until)
+	for o := t.pausedUntil.Load(); o < u && !t.pausedUntil.CompareAndSwap(o, u); o = t.pausedUntil.Load() {
+	}
+}
+
+// paused returns how long after now the target's pause lasts.
+func (t *Target) paused(now time.Time) time.Duration {
+	u := t.pausedUntil.Load()
+	if u == 0 || now.IsZero() {
 		return 0
 	}
-	missing := 1 - p.TokensAt(now)
-	return time.Duration(max(missing, 0) / float64(p.Limit()) * float64(time.Second))
+	return max(time.Duration(u-monotonicNanos(now)), 0)
+}
+
+// SendDelay returns how long after now the target's pace and its pause allow the next
+// request.
+func (t *Target) SendDelay(now time.Time) time.Duration {
+	d := t.paused(now)
+	if p := t.pace.Load(); p != nil {
+		missing := max(1-p.TokensAt(now), 0)
+		d = max(d, time.Duration(missing/float64(p.Limit())*float64(time.Second)))
+	}
+	return d
 }
 
 // SetMaxIdleConns sets how many idle connections this process may keep open to the
--- a/cowsliproute/view.go
+++ b/cowsliproute/view.go
@@ -138,7 +138,7 @@
 }
 
 // eligible reports whether a replica satisfies the options and has capacity now. Its
-// pace must allow a request, too.
+// pace must allow a request, too, and it must not be paused.
 func (v *View) eligible(t *Target, o PickOptions) bool {
 	if !o.Version.Allows(t.info.Version) {
 		return false
@@ -146,7 +146,7 @@
 	if o.OwnDomainOnly && t.info.FailureDomain != v.domain {
 		return false
 	}
-	if !t.paceAllows(o.Now) {
+	if !t.paceAllows(o.Now) || t.paused(o.Now) > 0 {
 		return false
 	}
 	for _, e := range o.Exclude {
