Deal the parts of request limits out, so that every instance has one

With all five targets of a service stating 20 requests a second, 195 instances and at most 40 that share each limit, some instances had no part of any and refused their callers although the targets had room (TestEveryInstanceHasAPartOfSomeLimit, red before). Cause: each target picked its senders on its own. The replicas are now dealt out as their connections are.

--- a/cowslipcontrol/relay.go
+++ b/cowslipcontrol/relay.go
@@ -33,6 +33,12 @@
 	return c.groupWhere(func(capacity float64) bool { return isDirectSender(capacity, most) })
 }
 
+// relayingSenders returns the other instances, which pass wide requests on.
+func (c *Control) relayingSenders() senderGroup {
+	most := c.largestCapacity()
+	return c.groupWhere(func(capacity float64) bool { return !isDirectSender(capacity, most) })
+}
+
 func (c *Control) groupWhere(include func(capacity float64) bool) senderGroup {
 	var g senderGroup
 	add := func(id, domain string, capacity float64) {
--- a/cowslipcontrol/requestlimit.go
+++ b/cowslipcontrol/requestlimit.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"slices"
 	"time"
 
 	"cowslipflow/cowsliptarget"
@@ -64,26 +63,23 @@
 		return 0, false
 	}
 	c.scheduleLimits(until)
-	limit, ids := t.requestLimit, sharers.ids
-	if relaying := len(all.ids) - len(sharers.ids); relaying > 0 {
+	limit, group := t.requestLimit, sharers
+	if len(all.ids) > len(sharers.ids) {
 		limit *= 1 - relayReserveShare
 		if len(sharers.ids) == 0 {
-			limit, ids = t.requestLimit*relayReserveShare, c.relayingSenders(all)
+			limit, group = t.requestLimit*relayReserveShare, c.relayingSenders()
 		}
 	}
-	senders := max(min(int(limit*sendersPerRequest), len(ids)), 1)
-	if !c.amongFirst(id, ids, senders) {
+	senders := max(int(limit*sendersPerRequest), 1)
+	switch {
+	case senders >= len(group.ids):
+		senders = len(group.ids)
+	case !c.inSubset(t, senders, group):
 		return 0, true
 	}
 	return limit / float64(senders), true
 }
 
-// relayingSenders returns the instances that pass wide requests on.
-func (c *Control) relayingSenders(all senderGroup) []string {
-	direct := c.directSenders().ids
-	return slices.DeleteFunc(slices.Clone(all.ids), func(id string) bool { return slices.Contains(direct, id) })
-}
-
 func (c *Control) endRequestLimit(t *target) {
 	t.requestLimit = 0
 	c.o.Event("targetUnlimited", t.handle.Info().ID, "service "+t.handle.Info().Service)
--- a/cowslipcontrol/requestlimit_test.go
+++ b/cowslipcontrol/requestlimit_test.go
@@ -127,3 +127,45 @@
 	require.Equal(t, 1, answered(time.Millisecond, cowsliptarget.Leaving, 0), "the answer of another target")
 	require.Equal(t, 0, answered(time.Millisecond, cowsliptarget.OK, 0))
 }
+
+// Guards against callers that are refused although targets have room: all targets of a
+// service state limits, there are more instances than these allow to send, and some instance
+// may send to none.
+func TestEveryInstanceHasAPartOfSomeLimit(t *testing.T) {
+	const instances, replicas, limit = 195, 5, 20
+	now := t0
+	var members []cowslipcontrol.Member
+	for i := range instances {
+		members = append(members, cowslipcontrol.Member{ID: fmt.Sprint("e", i), FailureDomain: fmt.Sprint("d", i%5), Addr: fmt.Sprint("e", i)})
+	}
+	var list []cowslipplatform.Instance
+	text := "[[services]]\nname='s'\nkind='narrow'\nconnections=1200\n"
+	for i := range replicas {
+		text = fmt.Sprintf("[[failureDomains]]\nname='d%d'\n", i) + text
+		list = append(list, cowslipplatform.Instance{ID: fmt.Sprint("t", i), Addr: fmt.Sprint("t", i), Service: "s", FailureDomain: fmt.Sprint("d", i), Version: "v1", Slots: 6, Incarnation: "1"})
+	}
+	text += "version='v1'\n"
+	senders := make([]int, replicas)
+	for _, m := range members {
+		c := cowslipcontrol.New(cowslipcontrol.Options{ID: m.ID, FailureDomain: m.FailureDomain, ListOnly: true}, now)
+		c.UpdateMembers(now, members)
+		require.True(t, c.Offer(cowslipcontrol.Accepted{Revision: 1, Text: text}, "test"))
+		c.UpdateTargets(now, list)
+		c.Tick(now)
+		for _, x := range list {
+			c.Observe(cowslipcontrol.Sample{Target: c.View().Target(x.Addr), At: now, Report: cowsliptarget.Report{RequestLimit: limit}})
+		}
+		c.Tick(now)
+		parts := 0
+		for i, x := range list {
+			if c.View().Target(x.Addr).Available() {
+				parts++
+				senders[i]++
+			}
+		}
+		require.NotZero(t, parts, m.ID)
+	}
+	for _, n := range senders {
+		require.LessOrEqual(t, n, 2*limit)
+	}
+}
