--- a/cowsliproute/target.go
+++ b/cowsliproute/target.go
@@ -86,7 +86,11 @@
 // Pause stops new requests until the given time. A shorter pause does not end a longer one.
 func (t *Target) Pause(until time.Time) {
 	u := monotonicNanos(until)
-	for o := t.pausedUntil.Load(); o < u && !t.pausedUntil.CompareAndSwap(o, u); o = t.pausedUntil.Load() {
+	for {
+		o := t.pausedUntil.Load()
+		if o >= u || t.pausedUntil.CompareAndSwap(o, u) {
+			return
+		}
 	}
 }
 
