Tell two crashes of a sending at most, under one lease a minute

A second sending must crash another run for a request to be held, so that more than two crashes of one sending say nothing new; and one lease serves for a minute.

--- a/cowslipcontrol/quarantine.go
+++ b/cowslipcontrol/quarantine.go
@@ -15,6 +15,9 @@
 	quarantineTime = 10 * time.Minute
 	// maxCrashRecords bounds the table of crashes; the oldest are dropped first.
 	maxCrashRecords = 4096
+	// maxIncidentCrashes is how many crashes under one sending of a request count. More of
+	// them say nothing new: a second sending must crash another run.
+	maxIncidentCrashes = 2
 )
 
 // crash is a row of the table of crashes: a request and a target that it was
@@ -39,11 +42,15 @@
 	Partial     bool   // targets of other services answered the request
 }
 
-// Crashed records the crash of a target under a request. The caller must not
+// Crashed records the crash of a target under a request. It reports false if nothing new
+// follows from it, so that other instances need not know. The caller must not
 // report crashes of a request that another target of the same service has answered.
-func (c *Control) Crashed(now time.Time, x Crash) {
-	c.addCrash(x.Shared().row(now))
+func (c *Control) Crashed(now time.Time, x Crash) bool {
+	if !c.addCrash(x.Shared().row(now)) {
+		return false
+	}
 	c.effects.Push = true
+	return true
 }
 
 // SharedCrash is a crash as instances tell each other through the store.
@@ -84,12 +91,21 @@
 	c.crashesDirty = true
 }
 
-func (c *Control) addCrash(x crash) {
+func (c *Control) addCrash(x crash) bool {
 	if c.dismissed(x) {
-		return
+		return false
 	}
-	if slices.ContainsFunc(c.crashes, x.same) {
-		return
+	n := 0
+	for _, y := range c.crashes {
+		if x.same(y) {
+			return false
+		}
+		if x.incident == y.incident {
+			n++
+		}
+	}
+	if n >= maxIncidentCrashes {
+		return false
 	}
 	c.crashes = append(c.crashes, x)
 	if len(c.crashes) > maxCrashRecords {
@@ -97,6 +113,7 @@
 	}
 	c.crashesDirty = true
 	c.o.Event("requestCrashedTarget", fmt.Sprintf("%016x", x.fingerprint), "run "+x.endedRun+" request "+x.incident)
+	return true
 }
 
 // ClearSuspect handles the successful answer of a target of a service to a suspect request,
--- a/cowslipentry/crashqueue.go
+++ b/cowslipentry/crashqueue.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"time"
 
 	"cowslipflow/cowslipcontrol"
 	"cowslipflow/cowslipplatform"
@@ -18,6 +19,12 @@
 // maxQueuedCrashes bounds the crashes that wait to be written to the store.
 const maxQueuedCrashes = 256
 
+// crashLease is the lease of the crashes that an instance writes. The zero value is none.
+type crashLease struct {
+	id        uint64
+	grantedAt time.Time
+}
+
 // crashQueue holds the crashes that other instances have not been told of. Create it with
 // newCrashQueue. It is safe for concurrent use.
 type crashQueue struct {
@@ -110,15 +117,21 @@
 	}
 	t, cancel := context.WithTimeout(e.ctx, platformCallTimeout)
 	defer cancel()
-	l, err := e.opts.Store.Grant(t, crashLeaseTTL)
-	if err != nil {
-		return err
+	if e.clock.Since(e.crashLease.grantedAt) > crashLeaseReuse {
+		l, err := e.opts.Store.Grant(t, crashLeaseTTL)
+		if err != nil {
+			return err
+		}
+		e.crashLease = crashLease{id: l, grantedAt: e.clock.Now()}
 	}
 	k := fmt.Sprintf("%s%016x", crashKeys(s.Fingerprint), xxhash.Sum64String(s.Incident+" "+s.EndedRun))
-	_, err = e.opts.Store.Put(t, cowslipplatform.Write{Key: k, Data: b, Lease: l})
-	if errors.Is(err, cowslipplatform.ErrConflict) {
+	_, err = e.opts.Store.Put(t, cowslipplatform.Write{Key: k, Data: b, Lease: e.crashLease.id})
+	switch {
+	case errors.Is(err, cowslipplatform.ErrConflict):
 		// An earlier call whose answer was lost has written it.
 		return nil
+	case err != nil:
+		e.crashLease = crashLease{}
 	}
 	return err
 }
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -108,6 +108,7 @@
 	claimLimiter *rate.Limiter
 	crashLimiter *rate.Limiter
 	crashes      *crashQueue
+	crashLease   crashLease    // of crashLoop
 	loopDone     chan struct{} // closed when controlLoop returns
 	exchangeNow  chan struct{}
 	registered   chan struct{} // signals that this instance is on the list of entry instances again
--- a/cowslipentry/forwardcrash.go
+++ b/cowslipentry/forwardcrash.go
@@ -21,6 +21,9 @@
 	crashesPrefix = "cowslipflow/crashes/"
 	// crashLeaseTTL is how long a crash stays in the store.
 	crashLeaseTTL = 10 * time.Minute
+	// crashLeaseReuse is how long one lease serves for all crashes that are written, which
+	// costs the platform fewer calls.
+	crashLeaseReuse = time.Minute
 	// maxCrashProbes limits the targets that are checked after a request.
 	maxCrashProbes = 8
 	// crashShareInterval and crashShareBurst limit how often an instance writes a crash
@@ -104,8 +107,11 @@
 			continue
 		}
 		f.metrics.crashes.Add(1)
-		f.do(func(now time.Time, c *cowslipcontrol.Control) { c.Crashed(now, k) })
-		f.shareCrash(k.Shared())
+		share := false
+		f.do(func(now time.Time, c *cowslipcontrol.Control) { share = c.Crashed(now, k) })
+		if share {
+			f.shareCrash(k.Shared())
+		}
 	}
 	f.do(func(now time.Time, c *cowslipcontrol.Control) { c.Unanswered(now, unanswered...) })
 }
