Bound what a lost failure domain makes instances tell each other

Each crash in the store reaches every instance. Crashes that only the end of a silent target's run shows come in waves when a failure domain is lost, at each instance, so that their sum would grow with the square of the fleet. All instances together now write 8 of them a second at most, unless a second one makes the request one to hold. Verdicts are computed by fingerprint in place of all pairs, and only when the crashes have changed.

--- a/cowslipcontrol/quarantine.go
+++ b/cowslipcontrol/quarantine.go
@@ -79,16 +79,21 @@
 	if len(l) == 0 && len(c.sharedCrashes) == 0 {
 		return
 	}
-	before := c.sharedCrashes
-	c.sharedCrashes = nil
+	type key struct{ incident, endedRun string }
+	knownSince := make(map[key]time.Time, len(c.sharedCrashes))
+	for _, x := range c.sharedCrashes {
+		knownSince[key{x.incident, x.endedRun}] = x.at
+	}
+	rows := make([]crash, 0, len(l))
 	for _, s := range l {
 		x := s.row(now)
-		if i := slices.IndexFunc(before, x.same); i >= 0 {
-			x.at = before[i].at
+		if at, ok := knownSince[key{x.incident, x.endedRun}]; ok {
+			x.at = at
 		}
-		c.sharedCrashes = append(c.sharedCrashes, x)
+		rows = append(rows, x)
 	}
-	c.crashesDirty = true
+	c.crashesDirty = c.crashesDirty || !slices.Equal(rows, c.sharedCrashes)
+	c.sharedCrashes = rows
 }
 
 func (c *Control) addCrash(x crash) bool {
@@ -150,16 +155,17 @@
 		}
 	}
 	all = slices.DeleteFunc(all, c.dismissed)
-	for i := range all {
-		x := &all[i]
-		x.partial = x.partial || c.answeredSince(*x)
+	seen := make(map[uint64][]crash, len(all))
+	for _, x := range all {
+		x.partial = x.partial || c.answeredSince(x)
 		s := cowsliproute.Suspicion{Verdict: cowsliproute.Suspect, Whole: !x.partial}
 		if x.partial {
 			s.Services = []string{x.service}
 		}
-		if slices.ContainsFunc(all[:i], x.independent) {
+		if slices.ContainsFunc(seen[x.fingerprint], x.independent) {
 			s.Verdict = cowsliproute.Quarantined
 		}
+		seen[x.fingerprint] = append(seen[x.fingerprint], x)
 		c.crashVerdicts[x.fingerprint] = c.crashVerdicts[x.fingerprint].Merge(s)
 	}
 	for f, v := range c.crashVerdicts {
--- a/cowslipentry/crashqueue.go
+++ b/cowslipentry/crashqueue.go
@@ -14,10 +14,23 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
+	"golang.org/x/time/rate"
 )
 
-// maxQueuedCrashes bounds the crashes that wait to be written to the store.
-const maxQueuedCrashes = 256
+const (
+	// maxQueuedCrashes bounds the crashes that wait to be written to the store.
+	maxQueuedCrashes = 256
+	// crashShareRate and crashShareBurst limit how often an instance writes a crash to the
+	// store, so that a wave of crashes does not load the store. The others wait.
+	crashShareRate  = 1 // per second
+	crashShareBurst = 8
+	// doubtfulShareRate limits how often all instances together write crashes of targets
+	// that were merely silent when their run ended. While a failure domain is lost, each
+	// instance has many of them, and each one written reaches all instances.
+	doubtfulShareRate = 8 // per second
+	// crashRetryInterval is the time between writes while the store does not accept any.
+	crashRetryInterval = time.Second
+)
 
 // crashLease is the lease of the crashes that an instance writes. The zero value is none.
 type crashLease struct {
@@ -28,12 +41,17 @@
 // crashQueue holds the crashes that other instances have not been told of. Create it with
 // newCrashQueue. It is safe for concurrent use.
 type crashQueue struct {
+	limiter *rate.Limiter
+	lease   crashLease // used by crashLoop alone
+
 	mu      sync.Mutex
 	waiting []cowslipcontrol.SharedCrash
 	added   chan struct{}
 }
 
-func newCrashQueue() *crashQueue { return &crashQueue{added: make(chan struct{}, 1)} }
+func newCrashQueue(perSecond float64, burst int) *crashQueue {
+	return &crashQueue{limiter: rate.NewLimiter(rate.Limit(perSecond), burst), added: make(chan struct{}, 1)}
+}
 
 // add queues a crash. It reports false if the oldest one had to make room for it.
 func (q *crashQueue) add(s cowslipcontrol.SharedCrash) bool {
@@ -74,31 +92,44 @@
 }
 
 // shareCrash queues a crash for the store, through which the other instances hear of it.
-func (e *Entry) shareCrash(s cowslipcontrol.SharedCrash) {
-	if !e.crashes.add(s) {
+func (e *Entry) shareCrash(q *crashQueue, s cowslipcontrol.SharedCrash) {
+	if !q.add(s) {
 		e.logCrashNotShared("too many crashes", s)
 	}
 }
 
-// crashLoop writes the queued crashes to the store, at the rate of crashLimiter. Those that
-// the store does not accept are written again later.
-func (e *Entry) crashLoop() {
+// shareEndedRuns queues crashes of targets that did not visibly crash.
+func (e *Entry) shareEndedRuns(v *cowsliproute.View, l []cowslipcontrol.SharedCrash) {
+	e.doubtfulCrashes.limiter.SetLimit(rate.Limit(doubtfulShareRate / float64(e.control.Counts().Peers+1)))
+	for _, s := range l {
+		e.metrics.crashes.Add(1)
+		q := e.doubtfulCrashes
+		if max(v.CrashVerdict(s.Fingerprint), v.CrashVerdict(s.Family)) == cowsliproute.Quarantined {
+			q = e.crashes
+		}
+		e.shareCrash(q, s)
+	}
+}
+
+// crashLoop writes the crashes of a queue to the store, at the rate of its limiter. Those
+// that the store does not accept are written again later.
+func (e *Entry) crashLoop(q *crashQueue) {
 	for e.ctx.Err() == nil {
-		if e.crashes.empty() {
+		if q.empty() {
 			select {
 			case <-e.ctx.Done():
-			case <-e.crashes.added:
+			case <-q.added:
 			}
 			continue
 		}
-		if err := e.crashLimiter.Wait(e.ctx); err != nil {
+		if err := q.limiter.Wait(e.ctx); err != nil {
 			return
 		}
-		s := e.crashes.take(e.crashVerdict)
-		if err := e.writeCrash(s); err != nil {
+		s := q.take(e.crashVerdict)
+		if err := e.writeCrash(&q.lease, s); err != nil {
 			e.logCrashNotShared(err, s)
-			e.shareCrash(s)
-			e.sleep(e.ctx, crashShareInterval)
+			e.shareCrash(q, s)
+			e.sleep(e.ctx, crashRetryInterval)
 		}
 	}
 }
@@ -110,28 +141,28 @@
 	return cowsliproute.Harmless
 }
 
-func (e *Entry) writeCrash(s cowslipcontrol.SharedCrash) error {
+func (e *Entry) writeCrash(l *crashLease, s cowslipcontrol.SharedCrash) error {
 	b, err := json.Marshal(s)
 	if err != nil {
 		return err
 	}
 	t, cancel := context.WithTimeout(e.ctx, platformCallTimeout)
 	defer cancel()
-	if e.clock.Since(e.crashLease.grantedAt) > crashLeaseReuse {
-		l, err := e.opts.Store.Grant(t, crashLeaseTTL)
+	if e.clock.Since(l.grantedAt) > crashLeaseReuse {
+		id, err := e.opts.Store.Grant(t, crashLeaseTTL)
 		if err != nil {
 			return err
 		}
-		e.crashLease = crashLease{id: l, grantedAt: e.clock.Now()}
+		*l = crashLease{id: id, grantedAt: e.clock.Now()}
 	}
 	k := fmt.Sprintf("%s%016x", crashKeys(s.Fingerprint), xxhash.Sum64String(s.Incident+" "+s.EndedRun))
-	_, err = e.opts.Store.Put(t, cowslipplatform.Write{Key: k, Data: b, Lease: e.crashLease.id})
+	_, err = e.opts.Store.Put(t, cowslipplatform.Write{Key: k, Data: b, Lease: l.id})
 	switch {
 	case errors.Is(err, cowslipplatform.ErrConflict):
 		// An earlier call whose answer was lost has written it.
 		return nil
 	case err != nil:
-		e.crashLease = crashLease{}
+		*l = crashLease{}
 	}
 	return err
 }
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -94,36 +94,36 @@
 type Entry struct {
 	incarnation string // identifies this process
 
-	opts         Options
-	log          *slog.Logger
-	clock        clock.WithTicker
-	events       *cowslipevent.Ring
-	control      *cowslipcontrol.Control // owned by the control loop
-	commands     chan func(now time.Time, c *cowslipcontrol.Control)
-	samples      chan cowslipcontrol.Sample
-	view         atomic.Pointer[cowsliproute.View]
-	client       *cowsliptarget.Client
-	pool         *ants.Pool
-	recorder     *cowsliprecord.Recorder
-	claimLimiter *rate.Limiter
-	crashLimiter *rate.Limiter
-	crashes      *crashQueue
-	crashLease   crashLease    // of crashLoop
-	loopDone     chan struct{} // closed when controlLoop returns
-	exchangeNow  chan struct{}
-	registered   chan struct{} // signals that this instance is on the list of entry instances again
-	ready        atomic.Bool
-	draining     atomic.Bool
-	requests     sync.WaitGroup // requests of callers in flight
-	background   sync.WaitGroup // tasks that may outlive the request that started them
-	activeTasks  sync.Map       // running tasks that must not run twice at once; the key is the target for a probe, otherwise the name
-	metrics      *Metrics
-	ctx          context.Context
-	cancel       context.CancelFunc
-	answering    context.Context // ends when a stopping instance must answer all requests
-	endAnswering context.CancelFunc
-	answerBy     atomic.Pointer[time.Time] // when that is, nil before the stop
-	leaseID      atomic.Uint64
+	opts            Options
+	log             *slog.Logger
+	clock           clock.WithTicker
+	events          *cowslipevent.Ring
+	control         *cowslipcontrol.Control // owned by the control loop
+	commands        chan func(now time.Time, c *cowslipcontrol.Control)
+	samples         chan cowslipcontrol.Sample
+	view            atomic.Pointer[cowsliproute.View]
+	client          *cowsliptarget.Client
+	pool            *ants.Pool
+	recorder        *cowsliprecord.Recorder
+	claimLimiter    *rate.Limiter
+	crashes         *crashQueue   // to be written to the store
+	doubtfulCrashes *crashQueue   // likewise, of targets that were merely silent when their run ended
+	crashLease      crashLease    // of crashLoop
+	loopDone        chan struct{} // closed when controlLoop returns
+	exchangeNow     chan struct{}
+	registered      chan struct{} // signals that this instance is on the list of entry instances again
+	ready           atomic.Bool
+	draining        atomic.Bool
+	requests        sync.WaitGroup // requests of callers in flight
+	background      sync.WaitGroup // tasks that may outlive the request that started them
+	activeTasks     sync.Map       // running tasks that must not run twice at once; the key is the target for a probe, otherwise the name
+	metrics         *Metrics
+	ctx             context.Context
+	cancel          context.CancelFunc
+	answering       context.Context // ends when a stopping instance must answer all requests
+	endAnswering    context.CancelFunc
+	answerBy        atomic.Pointer[time.Time] // when that is, nil before the stop
+	leaseID         atomic.Uint64
 
 	mirror        *cowslipmirror.Mirror
 	firstMirrored atomic.Pointer[time.Time] // when the mirror first had content
@@ -162,17 +162,17 @@
 	e := &Entry{
 		incarnation: newID(),
 		opts:        o, log: o.Log.With("instance", o.ID), clock: o.Clock, pool: p,
-		events:       cowslipevent.New(cowslipevent.Options{Instance: o.ID, Clock: o.Clock, Capacity: o.EventsCapacity}),
-		commands:     make(chan func(time.Time, *cowslipcontrol.Control), 64),
-		samples:      make(chan cowslipcontrol.Sample, sampleQueueSize),
-		loopDone:     make(chan struct{}),
-		exchangeNow:  make(chan struct{}, 1),
-		registered:   make(chan struct{}, 1),
-		claimLimiter: rate.NewLimiter(rate.Limit(o.ClaimRate), claimBurst),
-		crashLimiter: rate.NewLimiter(rate.Every(crashShareInterval), crashShareBurst),
-		crashes:      newCrashQueue(),
-		metrics:      newMetrics(o.ID),
-		mirror:       &cowslipmirror.Mirror{},
+		events:          cowslipevent.New(cowslipevent.Options{Instance: o.ID, Clock: o.Clock, Capacity: o.EventsCapacity}),
+		commands:        make(chan func(time.Time, *cowslipcontrol.Control), 64),
+		samples:         make(chan cowslipcontrol.Sample, sampleQueueSize),
+		loopDone:        make(chan struct{}),
+		exchangeNow:     make(chan struct{}, 1),
+		registered:      make(chan struct{}, 1),
+		claimLimiter:    rate.NewLimiter(rate.Limit(o.ClaimRate), claimBurst),
+		crashes:         newCrashQueue(crashShareRate, crashShareBurst),
+		doubtfulCrashes: newCrashQueue(doubtfulShareRate, 1),
+		metrics:         newMetrics(o.ID),
+		mirror:          &cowslipmirror.Mirror{},
 	}
 	e.buffers = cowsliptarget.NewBuffers(o.Memory / bufferDivisor)
 	e.forwarder = cowsliptarget.NewForwarder(cowsliptarget.ForwarderOptions{IDHeader: o.Wire.IDHeader, Dial: o.Dial, Buffers: e.buffers})
@@ -248,7 +248,7 @@
 // its keys.
 func (e *Entry) platformLoops() []func() {
 	if e.opts.Edge != nil {
-		return []func(){e.storeLoop, e.followOwnReader, e.followOtherSources, e.peerProbeLoop, e.moveLoop, e.crashLoop, e.leaseLoop, e.sweepLoop}
+		return []func(){e.storeLoop, e.followOwnReader, e.followOtherSources, e.peerProbeLoop, e.moveLoop, func() { e.crashLoop(e.crashes) }, func() { e.crashLoop(e.doubtfulCrashes) }, e.leaseLoop, e.sweepLoop}
 	}
 	return []func(){e.watchLoop, e.listLoop, e.leaseLoop, func() { e.exchangeLoop(e.peerAddrs) }, e.probeLoop}
 }
--- a/cowslipentry/forwardcrash.go
+++ b/cowslipentry/forwardcrash.go
@@ -26,10 +26,6 @@
 	crashLeaseReuse = time.Minute
 	// maxCrashProbes limits the targets that are checked after a request.
 	maxCrashProbes = 8
-	// crashShareInterval and crashShareBurst limit how often an instance writes a crash
-	// to the store, so that a wave of crashes does not load the store. The others wait.
-	crashShareInterval = time.Second
-	crashShareBurst    = 8
 )
 
 // fingerprint identifies a request by all that selects its answer. Repeated requests have
@@ -110,7 +106,7 @@
 		share := false
 		f.do(func(now time.Time, c *cowslipcontrol.Control) { share = c.Crashed(now, k) })
 		if share {
-			f.shareCrash(k.Shared())
+			f.shareCrash(f.Entry.crashes, k.Shared())
 		}
 	}
 	f.do(func(now time.Time, c *cowslipcontrol.Control) { c.Unanswered(now, unanswered...) })
--- a/cowslipentry/loop.go
+++ b/cowslipentry/loop.go
@@ -49,9 +49,8 @@
 	if len(x.Outcomes) > 0 {
 		e.recordMoveOutcomes(x.Outcomes)
 	}
-	for _, s := range x.Crashes {
-		e.metrics.crashes.Add(1)
-		e.shareCrash(s)
+	if len(x.Crashes) > 0 {
+		e.shareEndedRuns(v, x.Crashes)
 	}
 	for _, m := range x.Started {
 		e.startThrottled("started/"+m.ID(), moveRecordRetryInterval, func(ctx context.Context) { e.recordMoveState(ctx, m, MoveRunning) })
