--- a/cowslipentry/crashqueue.go
+++ b/cowslipentry/crashqueue.go
@@ -27,7 +27,7 @@
 	// doubtfulShareRate limits how often all instances together write crashes of targets
 	// that were merely silent when their run ended. While a failure domain is lost, each
 	// instance has many of them, and each one written reaches all instances.
-	doubtfulShareRate = 8 // per second
+	doubtfulShareRate = 2 // per second
 	// crashRetryInterval is the time between writes while the store does not accept any.
 	crashRetryInterval = time.Second
 )
