A request limit that fits no integer limits nothing on any machine

int() of a float that is out of range differs by processor: on x86-64 a stated limit of 1e300 would have left one sender. Found on reading; TestHugeRequestLimitLimitsNothing is green before and after on arm64 and could not be run on x86-64 here. A field that was left over goes.

--- a/cowslipcontrol/pace.go
+++ b/cowslipcontrol/pace.go
@@ -5,6 +5,9 @@
 // paceBurstTime is the time whose part of a target's request limit may be sent at once.
 const paceBurstTime = 250 * time.Millisecond
 
+// maxPaceBurst bounds the requests that are sent at once, whatever limit a target states.
+const maxPaceBurst = 1000
+
 // paceLimit bounds the rate of requests to a target that its entry on the platform marks
 // as cold, or that states a request limit, and returns the resulting in-flight limit.
 func (c *Control) paceLimit(now time.Time, t *target, sharers, all senderGroup, limit int) int {
@@ -13,7 +16,7 @@
 		if n == 0 {
 			return 0
 		}
-		rate, burst = n, int(n*paceBurstTime.Seconds())
+		rate, burst = n, int(min(n*paceBurstTime.Seconds(), maxPaceBurst))
 	}
 	if n, ok := c.coldRateShare(now, t, sharers); ok {
 		if n == 0 {
--- a/cowslipcontrol/requestlimit.go
+++ b/cowslipcontrol/requestlimit.go
@@ -70,11 +70,8 @@
 			limit, group = t.requestLimit*relayReserveShare, c.relayingSenders()
 		}
 	}
-	senders := max(int(limit*sendersPerRequest), 1)
-	switch {
-	case senders >= len(group.ids):
-		senders = len(group.ids)
-	case !c.inSubset(t, senders, group):
+	senders := max(int(min(limit*sendersPerRequest, float64(len(group.ids)))), 1)
+	if senders < len(group.ids) && !c.inSubset(t, senders, group) {
 		return 0, true
 	}
 	return limit / float64(senders), true
--- a/cowslipcontrol/requestlimit_test.go
+++ b/cowslipcontrol/requestlimit_test.go
@@ -173,3 +173,28 @@
 		require.LessOrEqual(t, n, 2*limit)
 	}
 }
+
+// Guards against a stated limit that does not fit an integer: it must not keep instances from
+// sending.
+func TestHugeRequestLimitLimitsNothing(t *testing.T) {
+	for _, limit := range []float64{1e19, 1e300} {
+		now := t0
+		c := cowslipcontrol.New(cowslipcontrol.Options{ID: "e1", FailureDomain: "cerro", ListOnly: true}, now)
+		var members []cowslipcontrol.Member
+		for i := range 20 {
+			members = append(members, cowslipcontrol.Member{ID: fmt.Sprint("e", i), FailureDomain: "cerro", Addr: fmt.Sprint("e", i)})
+		}
+		c.UpdateMembers(now, members)
+		require.True(t, c.Offer(cowslipcontrol.Accepted{Revision: 1, Text: sixShardConfig}, "test"))
+		c.UpdateTargets(now, []cowslipplatform.Instance{{ID: "full", Addr: "full", Service: "s0", FailureDomain: "cerro", Version: "v1", Slots: 6, Incarnation: "1"}})
+		c.Tick(now)
+		h := c.View().Target("full")
+		c.Observe(cowslipcontrol.Sample{Target: h, At: now, Report: cowsliptarget.Report{RequestLimit: limit}})
+		for range 100 {
+			now = now.Add(time.Millisecond)
+			c.Tick(now)
+			require.True(t, h.Available())
+			require.Zero(t, h.SendDelay(now))
+		}
+	}
+}
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -108,7 +108,6 @@
 	claimLimiter    *rate.Limiter
 	crashes         *crashQueue   // to be written to the store
 	doubtfulCrashes *crashQueue   // likewise, of targets that were merely silent when their run ended
-	crashLease      crashLease    // of crashLoop
 	loopDone        chan struct{} // closed when controlLoop returns
 	exchangeNow     chan struct{}
 	registered      chan struct{} // signals that this instance is on the list of entry instances again
--- a/cowsliproute/target.go
+++ b/cowsliproute/target.go
@@ -50,7 +50,7 @@
 	suspension   atomic.Int64 // number of the suspension in effect, 0 if there is none
 
 	incarnation  atomic.Pointer[string]
-	pace         atomic.Pointer[rate.Limiter] // limits the rate of requests to a cold target; nil for no limit
+	pace         atomic.Pointer[rate.Limiter] // limits the rate of requests; nil for no limit
 	pausedUntil  atomic.Int64                 // in monotonic nanoseconds, 0 if the target never asked for a pause
 	lastProgress atomic.Int64                 // when a request last ended, or was sent while none was in flight; in monotonic nanoseconds
 }
