Test of second replies: report the close when Send meets it

Cause, by a trace in the test's peer: the caller reads the second reply and closes the connection before the peer's second Send returns; Send then returns "context canceled", and the peer left without reporting that its stream had ended. In 647 of 6,000 runs (race detector, six processes at once) the peer left so, each time after the caller had said "second reply in the stream". The product is right.

The peer now awaits the end of its stream whether or not the second Send fails, and the caller must name the second reply, which was any error before. 12,000 of 12,000 runs green; red on a scratch copy whose caller takes a second reply.

--- a/cowslippeer/relay_test.go
+++ b/cowslippeer/relay_test.go
@@ -124,18 +124,18 @@
 					return err
 				}
 			}
-			for range 2 {
-				if err := s.Send(&cowslipmessage.RelayReply{Reason: "reply"}); err != nil {
-					return err
-				}
+			if err := s.Send(&cowslipmessage.RelayReply{Reason: "reply"}); err != nil {
+				return err
 			}
+			// The caller may close the connection before the second Send returns.
+			err := s.Send(&cowslipmessage.RelayReply{Reason: "reply"})
 			<-s.Context().Done()
 			ended <- s.Context().Err()
-			return nil
+			return err
 		})
 		var y cowslippeer.Relayer
 		_, err := y.Relay(t.Context(), a, &cowslipmessage.RelayRequest{}, time.Second)
-		require.Error(t, err)
+		require.ErrorContains(t, err, "second reply in the stream")
 		select {
 		case <-ended:
 		case <-time.After(10 * time.Second):
