Report a keyed request as unknown while another call holds its claim

A repeat with a key that an earlier call has claimed polls the claim until its deadline. If the deadline ended it during a call to the store, and not between two, it was told "notRun: the request did not run; it may be sent again", though the earlier call may run or have run the request.

The loop now keeps the verdict that holds if the deadline ends now: unknown from the moment at which it sees another call's claim, not run again once that claim is released. TestRepeatEndsDuringAStoreCall failed before (notRun in place of unknown, case read).

--- a/cowsliprecord/recorder.go
+++ b/cowsliprecord/recorder.go
@@ -116,6 +116,7 @@
 // is the final one for the caller.
 func (h *claimAttempt) acquire(ctx context.Context) (Response, bool) {
 	var expect uint64
+	last := NotRun // verdict if ctx ends now
 	for ctx.Err() == nil {
 		n, err := h.write(ctx, h.claim, expect)
 		if err == nil {
@@ -142,22 +143,21 @@
 		case c.Fingerprint != h.claim.Fingerprint:
 			return Response{Verdict: KeyReused}, false
 		case c.State == Released:
-			expect = v.Revision
+			expect, last = v.Revision, NotRun
 		case c.State == Done:
 			return Response{Verdict: Ran, Result: c.Result, Repeated: true}, false
 		case c.State == Unclear:
 			return Response{Verdict: Unknown}, false
 		default:
+			// Another call holds the claim.
+			last = Unknown
 			h.sleep(ctx, pollInterval)
-			if ctx.Err() != nil {
-				return Response{Verdict: Unknown}, false
-			}
 		}
 	}
 	if h.uncertain {
 		h.releaseInBackground()
 	}
-	return Response{Verdict: NotRun}, false
+	return Response{Verdict: last}, false
 }
 
 func (h *claimAttempt) write(ctx context.Context, c Claim, expect uint64) (uint64, error) {
--- a/cowsliprecord/recorder_test.go
+++ b/cowsliprecord/recorder_test.go
@@ -127,6 +127,47 @@
 	}
 }
 
+// Guards against the answer "not run" for a request that an earlier call may run or have
+// run: the deadline ends the repeat during a call to the store, after it has read the
+// earlier call's claim.
+func TestRepeatEndsDuringAStoreCall(t *testing.T) {
+	hang := func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	for _, c := range []struct {
+		name string
+		hang func(s *cowslipplatform.Store) // makes calls to the store hang
+	}{
+		{"write", func(s *cowslipplatform.Store) {
+			s.Put = func(ctx context.Context, _ cowslipplatform.Write) (uint64, error) { return 0, hang(ctx) }
+		}},
+		{"read", func(s *cowslipplatform.Store) {
+			s.Get = func(ctx context.Context, _ string) (cowslipplatform.Value, error) {
+				return cowslipplatform.Value{}, hang(ctx)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := cowslipstandin.NewPlatform(nil)
+			s := *p.Store("e2")
+			get := s.Get
+			s.Get = func(ctx context.Context, key string) (cowslipplatform.Value, error) {
+				v, err := get(ctx, key)
+				c.hang(&s)
+				return v, err
+			}
+			var b cowsliprecord.Response
+			a := recorder("e1", p.Store("e1")).Run(contextWithTimeout(t, longTimeout), request("a"), func(context.Context) (string, cowsliptarget.Outcome) {
+				b = recorder("e2", &s).Run(contextWithTimeout(t, shortTimeout), request("b"), nil)
+				return "stored", cowsliptarget.OK
+			})
+			require.Equal(t, cowsliprecord.Ran, a.Verdict)
+			require.Equal(t, cowsliprecord.Unknown, b.Verdict)
+		})
+	}
+}
+
 func TestRepeatWhileTheFirstCallRuns(t *testing.T) {
 	p := cowslipstandin.NewPlatform(nil)
 	var x countingTarget
