Don't tell crashes under a request that was answered since

Callers saw a request refused as held although targets had answered it again.

A crash is now told only if the instance that recorded it still counts it. Crashes that no longer count are dropped without waiting for the rate limit.

TestCrashIsToldOnceTheStoreIsBackThroughProcesses/crash_and_answer failed before (the key of the crash appeared once the store was back); 3 of 3 runs passed after, and with -race 2 of 2 of all tests of crashing requests.

--- a/cowslipcontrol/quarantine.go
+++ b/cowslipcontrol/quarantine.go
@@ -121,6 +121,13 @@
 	return true
 }
 
+// HasCrash reports whether this instance counts a crash that it has recorded. It no longer
+// does once the request was answered.
+func (c *Control) HasCrash(s SharedCrash) bool {
+	x := s.row(time.Time{})
+	return slices.ContainsFunc(c.crashes, x.same)
+}
+
 // ClearSuspect handles the successful answer of a target of a service to a suspect request,
 // or to one of its family: the crashes of that service's targets under it had other causes
 // and no longer count. An answer of one shard says nothing of the others.
--- a/cowslipentry/crashqueue.go
+++ b/cowslipentry/crashqueue.go
@@ -125,7 +125,10 @@
 		if err := q.limiter.Wait(e.ctx); err != nil {
 			return
 		}
-		s := q.take(e.crashVerdict)
+		s, ok := e.nextCrash(q)
+		if !ok {
+			continue
+		}
 		if err := e.writeCrash(&q.lease, s); err != nil {
 			e.logCrashNotShared(err, s)
 			e.shareCrash(q, s)
@@ -134,6 +137,24 @@
 	}
 }
 
+// nextCrash removes the next crash to write, and those that no longer count as the requests
+// were answered since. It reports false if none is left.
+func (e *Entry) nextCrash(q *crashQueue) (cowslipcontrol.SharedCrash, bool) {
+	for !q.empty() {
+		if s := q.take(e.crashVerdict); e.crashCounts(s) {
+			return s, true
+		}
+	}
+	return cowslipcontrol.SharedCrash{}, false
+}
+
+// crashCounts reports whether the crash still counts at this instance.
+func (e *Entry) crashCounts(s cowslipcontrol.SharedCrash) bool {
+	ok := false
+	e.do(func(_ time.Time, c *cowslipcontrol.Control) { ok = c.HasCrash(s) })
+	return ok
+}
+
 func (e *Entry) crashVerdict(fingerprint uint64) cowsliproute.CrashVerdict {
 	if v := e.view.Load(); v != nil {
 		return v.CrashVerdict(fingerprint)
