Hold a request only briefly that was answered shortly before its crashes

Callers saw a harmless request, one that many of them send, refused everywhere for ten minutes. Cause: when the crashing request takes down the targets of a service, the popular request is in flight at all of them. Two of its sendings then count as independent crashes, as those of the crashing request do, though targets had answered it until then. A request that crashes every target that runs it has no such answer.

Each instance now remembers for 30 s which requests all of their services answered, and says so in the crashes that it tells; an answer of the crashed service after the first crash counts likewise. Such a request is held for 5 s and then tried again, one sending at a time at each instance. An answer clears it; a crash under a trial doubles the hold, up to ten minutes, since a request can also begin to crash targets after a release. Requests that were never answered are held as before.

--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -118,6 +118,7 @@
 	clearedSuspects map[uint64]map[string]time.Time // when targets last answered a suspect request, by fingerprint and service
 	view            *cowsliproute.View
 	crashVerdicts   map[uint64]cowsliproute.Suspicion
+	shortHolds      map[uint64]*shortHold // of quarantined requests that were answered shortly before, by fingerprint
 	effects         Effects
 }
 
@@ -144,7 +145,7 @@
 		targetIndex: map[string]int{}, targetByAddr: map[string]*cowsliproute.Target{}, services: map[string]*service{},
 		domains:  map[string]*domainState{},
 		outcomes: map[string]*cowslipmessage.Outcome{}, recordedMoves: map[string]bool{}, stops: map[string]*cowslipmessage.Stop{},
-		serviceDirty: map[string]bool{}, targetsDirty: map[string]bool{}, clearedSuspects: map[uint64]map[string]time.Time{}, departedCounts: map[string]map[evidenceKey]counts{}, viewDirty: true, limitsDirty: true,
+		serviceDirty: map[string]bool{}, targetsDirty: map[string]bool{}, clearedSuspects: map[uint64]map[string]time.Time{}, shortHolds: map[uint64]*shortHold{}, departedCounts: map[string]map[evidenceKey]counts{}, viewDirty: true, limitsDirty: true,
 	}
 	return c
 }
--- a/cowslipcontrol/quarantine.go
+++ b/cowslipcontrol/quarantine.go
@@ -29,6 +29,8 @@
 	endedRun         string // identifies the target's run that ended; the same for all requests in flight at the time
 	service, version string
 	partial          bool // targets of other services answered the request
+	answered         bool // another sending of the request was answered shortly before
+	trial            bool // the request was sent after a hold
 	at               time.Time
 }
 
@@ -40,19 +42,34 @@
 	Target      *cowsliproute.Target
 	Incarnation string // of the target's run that ended
 	Partial     bool   // targets of other services answered the request
+	Answered    bool   // another sending of the request was answered shortly before
+	Trial       bool   // the request was sent after a hold
 }
 
 // Crashed records the crash of a target under a request. It reports false if nothing new
 // follows from it, so that other instances need not know. The caller must not
 // report crashes of a request that another target of the same service has answered.
 func (c *Control) Crashed(now time.Time, x Crash) bool {
-	if !c.addCrash(x.Shared().row(now)) {
+	if !c.addCrash(c.share(x).row(now)) {
 		return false
 	}
 	c.effects.Push = true
 	return true
 }
 
+// share returns the crash as instances tell each other, with what is known of answers.
+func (c *Control) share(x Crash) SharedCrash {
+	s := x.Shared()
+	s.Answered = s.Answered || c.answeredBy(s.Fingerprint, s.Service)
+	return s
+}
+
+// answeredBy reports whether targets of a service have answered a suspect request lately.
+func (c *Control) answeredBy(fingerprint uint64, service string) bool {
+	_, ok := c.clearedSuspects[fingerprint][service]
+	return ok
+}
+
 // SharedCrash is a crash as instances tell each other through the store.
 type SharedCrash struct {
 	Fingerprint uint64 `json:"fingerprint,string"`
@@ -61,17 +78,19 @@
 	EndedRun    string `json:"endedRun"` // identifies the run of the target that ended
 	Service     string `json:"service"`
 	Version     string `json:"version"`
-	Partial     bool   `json:"partial,omitempty"` // targets of other services answered the request
+	Partial     bool   `json:"partial,omitempty"`  // targets of other services answered the request
+	Answered    bool   `json:"answered,omitempty"` // another sending of the request was answered shortly before
+	Trial       bool   `json:"trial,omitempty"`    // the request was sent after a hold
 }
 
 // Shared returns the crash as instances tell each other.
 func (x Crash) Shared() SharedCrash {
 	i := x.Target.Info()
-	return SharedCrash{Fingerprint: x.Fingerprint, Family: x.Family, Incident: x.Incident, EndedRun: i.ID + "/" + x.Incarnation, Service: i.Service, Version: i.Version, Partial: x.Partial}
+	return SharedCrash{Fingerprint: x.Fingerprint, Family: x.Family, Incident: x.Incident, EndedRun: i.ID + "/" + x.Incarnation, Service: i.Service, Version: i.Version, Partial: x.Partial, Answered: x.Answered, Trial: x.Trial}
 }
 
 func (s SharedCrash) row(now time.Time) crash {
-	return crash{fingerprint: s.Fingerprint, family: s.Family, incident: s.Incident, endedRun: s.EndedRun, service: s.Service, version: s.Version, partial: s.Partial, at: now}
+	return crash{fingerprint: s.Fingerprint, family: s.Family, incident: s.Incident, endedRun: s.EndedRun, service: s.Service, version: s.Version, partial: s.Partial, answered: s.Answered, trial: s.Trial, at: now}
 }
 
 // UpdateSharedCrashes replaces the crashes that the store holds.
@@ -149,7 +168,7 @@
 		maps.DeleteFunc(m, func(_ string, t time.Time) bool { return now.Sub(t) > quarantineTime })
 		return len(m) == 0
 	})
-	if !c.crashesDirty && len(c.crashes) == n {
+	if !c.crashesDirty && len(c.crashes) == n && !c.anyShortHoldOver(now) {
 		return
 	}
 	c.crashesDirty = false
@@ -175,14 +194,15 @@
 		seen[x.fingerprint] = append(seen[x.fingerprint], x)
 		c.crashVerdicts[x.fingerprint] = c.crashVerdicts[x.fingerprint].Merge(s)
 	}
+	c.shortenHolds(now, seen)
 	for f, v := range c.crashVerdicts {
 		if v.Verdict == cowsliproute.Quarantined && before[f].Verdict != v.Verdict {
-			c.o.Event("requestQuarantined", fmt.Sprintf("%016x", f), "for "+quarantineTime.String()+" after its last crash")
+			c.o.Event("requestQuarantined", fmt.Sprintf("%016x", f), holdDetail(now, v))
 		}
 	}
 	for f, v := range before {
 		if v.Verdict == cowsliproute.Quarantined && c.crashVerdicts[f].Verdict != v.Verdict {
-			c.o.Event("requestReleased", fmt.Sprintf("%016x", f), "its quarantine is over")
+			c.o.Event("requestReleased", fmt.Sprintf("%016x", f), "its hold is over")
 		}
 	}
 	c.viewDirty = true
--- a/cowslipcontrol/unanswered.go
+++ b/cowslipcontrol/unanswered.go
@@ -35,7 +35,7 @@
 	c.unanswered = slices.DeleteFunc(c.unanswered, func(u unanswered) bool {
 		ended, planned := c.runEnded(u.crash)
 		if ended && !planned && c.Crashed(now, u.crash) {
-			c.effects.Crashes = append(c.effects.Crashes, u.crash.Shared())
+			c.effects.Crashes = append(c.effects.Crashes, c.share(u.crash))
 		}
 		return ended || planned || now.Sub(u.at) > runEndWait
 	})
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -106,7 +106,9 @@
 	pool            *ants.Pool
 	recorder        *cowsliprecord.Recorder
 	claimLimiter    *rate.Limiter
-	crashes         *crashQueue   // to be written to the store
+	crashes         *crashQueue // to be written to the store
+	trials          sync.Map    // families of requests that were held and are tried again
+	answers         answers
 	doubtfulCrashes *crashQueue   // likewise, of targets that were merely silent when their run ended
 	loopDone        chan struct{} // closed when controlLoop returns
 	exchangeNow     chan struct{}
--- a/cowslipentry/forward.go
+++ b/cowslipentry/forward.go
@@ -117,7 +117,13 @@
 func (f *forward) serve(ctx context.Context) Reply {
 	o := f.dispatchOptions()
 	if f.suspicion.Verdict == cowsliproute.Quarantined {
-		return notRunReply("the request has crashed targets and is held", quarantineRetryAfter)
+		return notRunReply("the request has crashed targets and is held", f.holdDelay())
+	}
+	if f.suspicion.Verdict == cowsliproute.Suspect && f.suspicion.Trial {
+		if !f.startTrial() {
+			return notRunReply("the request has crashed targets and is tried again", shortRetryAfter)
+		}
+		defer f.endTrial()
 	}
 	if f.tooLateToServe() {
 		return notRunReply("the instance is stopping and has too little time left", shortRetryAfter)
--- a/cowslipentry/forwardadmission.go
+++ b/cowslipentry/forwardadmission.go
@@ -33,6 +33,14 @@
 	return notRunReply("too few services have a target that takes a request now", spreadReturn(d)), true
 }
 
+// holdDelay returns how long the caller of a request that is held is told to wait.
+func (f *forward) holdDelay() time.Duration {
+	if u := f.suspicion.HeldUntil; !u.IsZero() {
+		return spreadReturn(u.Sub(f.clock.Now()))
+	}
+	return quarantineRetryAfter
+}
+
 // retryAfter returns how long a refused caller is told to wait. An isolated
 // instance still receives callers until the load balancer notices, so they are told to
 // wait until then.
--- a/cowslipentry/forwardcrash.go
+++ b/cowslipentry/forwardcrash.go
@@ -62,6 +62,9 @@
 			answered[x.target.Info().Service] = true
 		}
 	}
+	if len(f.services) > 0 && len(answered) == len(f.services) {
+		f.answers.add(f.clock.Now(), f.fingerprint)
+	}
 	if f.clears(answered) {
 		f.runInBackground(func(ctx context.Context) { f.clearSuspect(ctx, answered) })
 	}
@@ -81,6 +84,15 @@
 	}
 }
 
+// startTrial reports whether a request that was held may be tried again: each instance sends
+// one at a time. If so, endTrial must be called.
+func (f *forward) startTrial() bool {
+	_, busy := f.trials.LoadOrStore(f.family, true)
+	return !busy
+}
+
+func (f *forward) endTrial() { f.trials.Delete(f.family) }
+
 // clears reports whether answers of the given services clear the request of crashes.
 func (f *forward) clears(answered map[string]bool) bool {
 	s := f.crashSuspicion(f.Entry.view.Load())
@@ -95,9 +107,10 @@
 // probeLost reports the targets that have crashed, those whose hosts refuse connections, and
 // those that may have. Partial says whether targets of other services answered the request.
 func (f *forward) probeLost(ctx context.Context, l []forwardResult, partial bool) {
+	answered := f.answers.has(f.clock.Now(), f.fingerprint)
 	var unanswered []cowslipcontrol.Crash
 	for _, x := range l {
-		k := cowslipcontrol.Crash{Fingerprint: f.fingerprint, Family: f.family, Incident: f.incident, Target: x.target, Incarnation: x.incarnation, Partial: partial}
+		k := cowslipcontrol.Crash{Fingerprint: f.fingerprint, Family: f.family, Incident: f.incident, Target: x.target, Incarnation: x.incarnation, Partial: partial, Answered: answered, Trial: f.suspicion.Trial}
 		if !f.refuses(ctx, x) {
 			unanswered = append(unanswered, k)
 			continue
--- a/cowsliproute/suspicion.go
+++ b/cowsliproute/suspicion.go
@@ -1,6 +1,9 @@
 package cowsliproute
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // CrashVerdict states whether a request is known to crash targets.
 type CrashVerdict int
@@ -21,10 +24,24 @@
 	Verdict  CrashVerdict
 	Whole    bool     // no target answered the request
 	Services []string // whose targets crashed while targets of other services answered
+
+	// Trial is set if a suspect request was quarantined and is tried again.
+	Trial bool
+	// HeldUntil is when a quarantined request is tried again; zero if that is not known.
+	HeldUntil time.Time
 }
 
 // Merge returns what is known from both.
 func (s Suspicion) Merge(o Suspicion) Suspicion {
+	switch {
+	case o.Verdict > s.Verdict:
+		s.HeldUntil = o.HeldUntil
+	case o.Verdict == s.Verdict && (s.HeldUntil.IsZero() || o.HeldUntil.IsZero()):
+		s.HeldUntil = time.Time{}
+	case o.Verdict == s.Verdict && o.HeldUntil.After(s.HeldUntil):
+		s.HeldUntil = o.HeldUntil
+	}
+	s.Trial = s.Trial || o.Trial
 	s.Verdict, s.Whole = max(s.Verdict, o.Verdict), s.Whole || o.Whole
 	for _, n := range o.Services {
 		if !slices.Contains(s.Services, n) {
