Let a relay's whole answer clear a request at the instance that passed it on

Callers of an instance with little processor got 503 "tried again" for all but one request at a time, for ten minutes, on a harmless request.

A whole answer from a relay now counts as the answer of all services of the route, as it holds a part of each. One with missing parts says nothing, since the relay does not name them.

--- a/cowslipentry/forward.go
+++ b/cowslipentry/forward.go
@@ -108,7 +108,7 @@
 	f.fingerprint, f.family, f.incident = r.fingerprint(), r.family(), r.ID+" "+newID()
 	f.suspicion = f.crashSuspicion(f.view)
 	x := f.serve(ctx)
-	f.reportCrashes()
+	f.reportCrashes(x)
 	f.releaseResponses()
 	f.observeReply(x)
 	return x
--- a/cowslipentry/forwardcrash.go
+++ b/cowslipentry/forwardcrash.go
@@ -55,13 +55,8 @@
 // broke it off. It crashes every target of a service that runs it, so one that another
 // target of the service has answered is not the cause, and an answer clears a suspect
 // request of the crashes in that service.
-func (f *forward) reportCrashes() {
-	answered := map[string]bool{}
-	for _, x := range f.attempts {
-		if x.outcome == cowsliptarget.OK {
-			answered[x.target.Info().Service] = true
-		}
-	}
+func (f *forward) reportCrashes(x Reply) {
+	answered := f.answeredServices(x)
 	if len(f.services) > 0 && len(answered) == len(f.services) {
 		f.answers.add(f.clock.Now(), f.fingerprint)
 	}
@@ -84,6 +79,23 @@
 	}
 }
 
+// answeredServices returns the services that answered the request. Of a request that a relay
+// served, only whole answers tell.
+func (f *forward) answeredServices(x Reply) map[string]bool {
+	m := map[string]bool{}
+	for _, a := range f.attempts {
+		if a.outcome == cowsliptarget.OK {
+			m[a.target.Info().Service] = true
+		}
+	}
+	if f.relayedBy != "" && x.Kind == ReplyGathered && x.Missing == 0 {
+		for _, n := range f.services {
+			m[n] = true
+		}
+	}
+	return m
+}
+
 // startTrial reports whether a request that was held may be tried again: each instance sends
 // one at a time. If so, endTrial must be called.
 func (f *forward) startTrial() bool {
