Keep a target's pause when the list tells of its new run

Cause: 3.9 s after the faults began, the list told of a new run of the target; the instance replaces the target's state then and forgot the pause. Answers do not name the run, so that the new run may have asked for it, and the platform excuses a restart of the instance alone. The pause is handed on now.

TestPauseOutlivesTheRun failed before (0 s left in place of 1 s).

--- a/cowslipcontrol/membership.go
+++ b/cowslipcontrol/membership.go
@@ -158,6 +158,7 @@
 }
 
 func (c *Control) ensureTarget(now time.Time, i cowslipplatform.Instance) *target {
+	var before *cowsliproute.Target // of another run or at another place
 	if n, ok := c.targetIndex[i.ID]; ok {
 		t := &c.targets[n]
 		o := t.handle.Info()
@@ -165,6 +166,7 @@
 		if o.Addr == i.Addr && o.Version == i.Version && o.Service == i.Service && o.FailureDomain == i.FailureDomain && !again {
 			return t
 		}
+		before = t.handle
 		c.dropTarget(n)
 	}
 	slots := max(i.Slots, 1)
@@ -172,6 +174,9 @@
 		slots = s.Slots()
 	}
 	h := cowsliproute.NewTarget(cowsliproute.TargetInfo{ID: i.ID, Addr: i.Addr, Service: i.Service, FailureDomain: i.FailureDomain, Version: i.Version, Slots: slots})
+	if before != nil {
+		h.TakePause(before)
+	}
 	c.targets = append(c.targets, target{handle: h, lastSuccess: now})
 	c.targetIndex[i.ID] = len(c.targets) - 1
 	c.targetByAddr[i.Addr] = h
--- a/cowsliproute/target.go
+++ b/cowsliproute/target.go
@@ -94,6 +94,9 @@
 	}
 }
 
+// TakePause takes over the pause that another run of the target has asked for.
+func (t *Target) TakePause(o *Target) { t.pausedUntil.Store(o.pausedUntil.Load()) }
+
 // paused returns how long after now the target's pause lasts.
 func (t *Target) paused(now time.Time) time.Duration {
 	u := t.pausedUntil.Load()
