--- a/cowslipcontrol/pausedrun_test.go
+++ b/cowslipcontrol/pausedrun_test.go
@@ -16,7 +16,7 @@
 	entry := func(run string) cowslipplatform.Instance {
 		return cowslipplatform.Instance{ID: "h1", Service: "households", Addr: "h1:1", FailureDomain: "cerro", Version: "v1", Slots: 2, Incarnation: run}
 	}
-	now := t0
+	now := time.Now() // as pauses are kept in monotonic time
 	x := cowslipcontrol.New(cowslipcontrol.Options{ID: "e1", ListOnly: true}, now)
 	require.True(t, x.Offer(cowslipcontrol.Accepted{Revision: 1, Text: text(time.Time{})}, "test"))
 	list := func(run string) {
