--- a/review/_standin/config.go
+++ b/review/_standin/config.go
@@ -18,13 +18,13 @@
 	if trouble {
 		steps = 17
 	}
-	f.configure(manyRoutes(growth, "old"))
+	f.configure(manyRoutes(smallGrowth, "old"))
 	if err := f.startInstances(); err != nil {
 		return false, err
 	}
 	var l []route
 	for i := range steps - 1 {
-		l = manyRoutes(growth*(i+2), "old")
+		l = manyRoutes(smallGrowth*(i+2), "old")
 		f.configure(l)
 		time.Sleep(1500 * time.Millisecond)
 	}
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -8,6 +8,12 @@
 	"time"
 )
 
+// Memory of the machines of smut-valpo, and of the smallest ones of smut-valpo-grown.
+const (
+	smallMemoryMB = 284
+	grownMemoryMB = 184
+)
+
 // host is the host that all requests name.
 const host = "pupu76.example"
 
@@ -54,6 +60,7 @@
 	instances []*instance
 	services  []string
 	version   int
+	memoryMB  int64 // of each machine
 
 	mu    sync.Mutex
 	calls []*call
@@ -69,7 +76,7 @@
 		return nil, err
 	}
 	s, err := newStore()
-	return &fleet{record: r, temp: t, store: s}, err
+	return &fleet{record: r, temp: t, store: s, memoryMB: smallMemoryMB}, err
 }
 
 // addService starts the replicas of a service, one slot for each request that it runs at once.
@@ -98,7 +105,7 @@
 // startInstances starts two machines and waits until they are ready.
 func (f *fleet) startInstances() error {
 	for i, z := range []string{"za", "zb"} {
-		x, err := newInstance(fmt.Sprint("front-", z, "-", i+1), z, f.temp, f.store.addr, []string{"za", "zb"}, f.record)
+		x, err := newInstance(fmt.Sprint("front-", z, "-", i+1), z, f.temp, f.store.addr, []string{"za", "zb"}, f.memoryMB, f.record)
 		if err != nil {
 			return err
 		}
