--- a/review/_standin/config.go
+++ b/review/_standin/config.go
@@ -32,7 +32,7 @@
 	size := f.configure(l)
 	acknowledged := time.Now()
 	f.record.say("the configuration has %d routes and %d bytes; a value of the store may have %d", len(l), size, valueBytes)
-	time.Sleep(applyTime + time.Second)
+	time.Sleep(f.site.apply + time.Second)
 	wrong, served := 0, 0
 	for n := range 40 {
 		x := f.instances[n%2]
@@ -43,7 +43,7 @@
 			wrong++
 		}
 	}
-	f.record.say("%d of 40 requests sent from %.1f s after the acknowledgement were run by the old service", wrong, (applyTime + time.Second).Seconds())
+	f.record.say("%d of 40 requests sent from %.1f s after the acknowledgement were run by the old service", wrong, (f.site.apply + time.Second).Seconds())
 	for _, x := range f.instances {
 		<-x.signal(syscall.SIGTERM)
 	}
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -8,10 +8,15 @@
 	"time"
 )
 
-// Memory of the machines of smut-valpo, and of the smallest ones of smut-valpo-grown.
-const (
-	smallMemoryMB = 284
-	grownMemoryMB = 184
+// site holds what differs between the sites. The longest drain time equals apply on both.
+type site struct {
+	memoryMB       int64 // of the smallest machines
+	apply, contact time.Duration
+}
+
+var (
+	smutValpo      = site{284, 3 * time.Second, 4 * time.Second}
+	smutValpoGrown = site{184, 5 * time.Second, 5 * time.Second}
 )
 
 // host is the host that all requests name.
@@ -60,7 +65,7 @@
 	instances []*instance
 	services  []string
 	version   int
-	memoryMB  int64 // of each machine
+	site      site
 
 	mu    sync.Mutex
 	calls []*call
@@ -76,7 +81,7 @@
 		return nil, err
 	}
 	s, err := newStore()
-	return &fleet{record: r, temp: t, store: s, memoryMB: smallMemoryMB}, err
+	return &fleet{record: r, temp: t, store: s, site: smutValpo}, err
 }
 
 // addService starts the replicas of a service, one slot for each request that it runs at once.
@@ -105,7 +110,7 @@
 // startInstances starts two machines and waits until they are ready.
 func (f *fleet) startInstances() error {
 	for i, z := range []string{"za", "zb"} {
-		x, err := newInstance(fmt.Sprint("front-", z, "-", i+1), z, f.temp, f.store.addr, []string{"za", "zb"}, f.memoryMB, f.record)
+		x, err := newInstance(fmt.Sprint("front-", z, "-", i+1), z, f.temp, f.store.addr, []string{"za", "zb"}, f.site, f.record)
 		if err != nil {
 			return err
 		}
@@ -119,7 +124,7 @@
 			return fmt.Errorf("%s does not get ready", x.name)
 		}
 	}
-	time.Sleep(contactTime)
+	time.Sleep(f.site.contact)
 	return nil
 }
 
--- a/review/_standin/instance.go
+++ b/review/_standin/instance.go
@@ -17,11 +17,9 @@
 	"time"
 )
 
-// Bounds of the site smut-valpo, and times of the stand-in for the platform.
+// Bounds of both sites, and times of the stand-in for the platform.
 const (
 	graceTime      = 6 * time.Second
-	applyTime      = 3 * time.Second
-	contactTime    = 4 * time.Second
 	lossSlack      = 200 * time.Millisecond
 	recoveryTime   = 12 * time.Second
 	restartDelay   = 500 * time.Millisecond
@@ -72,15 +70,15 @@
 	return nil, fmt.Errorf("no %d free ports", n)
 }
 
-func newInstance(name, zone, folder, storeAddr string, zones []string, memoryMB int64, r *record) (*instance, error) {
+func newInstance(name, zone, folder, storeAddr string, zones []string, p site, r *record) (*instance, error) {
 	a, err := freeAddrs(4)
 	if err != nil {
 		return nil, err
 	}
-	x := &instance{name: name, zone: zone, front: a[0], readiness: a[1], control: a[2], metric: a[3], memoryMB: memoryMB, record: r}
+	x := &instance{name: name, zone: zone, front: a[0], readiness: a[1], control: a[2], metric: a[3], memoryMB: p.memoryMB, record: r}
 	x.file, x.logFile = filepath.Join(folder, name+".json"), filepath.Join(folder, name+".log")
 	_, port, _ := net.SplitHostPort(a[3])
-	p, _ := strconv.Atoi(port)
+	n, _ := strconv.Atoi(port)
 	regions := map[string]string{}
 	for _, z := range zones {
 		regions[z] = "valpo"
@@ -89,13 +87,13 @@
 		"nodeName": name, "role": "entry", "machineClass": "front", "serves": []string{"front", "control"}, "ip": "127.0.0.1",
 		"zone": zone, "region": "valpo", "zones": regions,
 		"listen":            map[string]string{"front": x.front, "readiness": x.readiness, "control": x.control},
-		"internalPortRange": []int{p, p}, "seeds": []string{}, "bootstrap": true, "inFaultBudget": true,
-		"limits":  map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": memoryMB, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
+		"internalPortRange": []int{n, n}, "seeds": []string{}, "bootstrap": true, "inFaultBudget": true,
+		"limits":  map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": p.memoryMB, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
 		"dataDir": nil, "discovery": "platform", "entry": "vip", "heartbeatMs": 1200,
 		"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "scatter", "places", "rollout", "platform"},
 		"bounds": map[string]any{
-			"seedLagS": 3, "reuseAfterS": 2, "contactMs": 4000, "ackMs": 5000, "catchUpS": 4, "drainMs": 3000, "graceS": 6, "lossSlackMs": 200,
-			"configApplyMs": 3000, "rollbackSlackMs": 250, "outerMs": 12000, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetSlack": 56,
+			"seedLagS": 3, "reuseAfterS": 2, "contactMs": p.contact.Milliseconds(), "ackMs": 5000, "catchUpS": 4, "drainMs": p.apply.Milliseconds(), "graceS": 6, "lossSlackMs": 200,
+			"configApplyMs": p.apply.Milliseconds(), "rollbackSlackMs": 250, "outerMs": 12000, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetSlack": 56,
 			"exposeShare": 0.1, "exposeSlack": 50, "rollbackMs": 5000, "warmupFactor": 1.5, "warmupSlack": 5, "evacuationMs": 5000, "recoveryS": 12,
 		},
 		"platform": map[string]any{"address": storeAddr, "form": "kv", "writesPerS": 400, "readsPerS": 2000, "historyS": 20, "valueBytes": valueBytes, "ttlMinMs": 1000},
--- a/review/_standin/routes.go
+++ b/review/_standin/routes.go
@@ -24,7 +24,7 @@
 // useManyRoutes grows the configuration three times and then sends one request after
 // another, each on the next route. Rule LOST, at any time.
 func useManyRoutes(f *fleet, trouble bool) (bool, error) {
-	f.memoryMB = grownMemoryMB
+	f.site = smutValpoGrown
 	if err := f.addService("lookup", 4, 5*time.Millisecond, 30*time.Millisecond); err != nil {
 		return false, err
 	}
@@ -38,7 +38,7 @@
 		l = manyRoutes(len(l)+grownGrowth, "lookup")
 		size := f.configure(l)
 		f.record.say("the configuration has %d routes and %d bytes; a value of the store may have %d", len(l), size, valueBytes)
-		time.Sleep(applyTime)
+		time.Sleep(f.site.apply)
 	}
 	quit := make(chan struct{})
 	var mu sync.Mutex
