--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -84,18 +84,26 @@
 	return &fleet{record: r, temp: t, store: s, site: smutValpo}, err
 }
 
-// addService starts the replicas of a service, one slot for each request that it runs at once.
+// addService starts the replicas of a service.
 func (f *fleet) addService(name string, replicas int, least, most time.Duration) error {
 	f.services = append(f.services, name)
+	_, err := f.addReplicas(name, "v1", replicas, least, most, nil)
+	return err
+}
+
+// addReplicas starts replicas of a version of a service and returns them.
+func (f *fleet) addReplicas(service, version string, replicas int, least, most time.Duration, fails func() bool) ([]*replica, error) {
 	zones := []string{"za", "zb"}
+	var l []*replica
 	for i := range replicas {
-		x := &replica{id: fmt.Sprint("i-", name, "-", i), service: name, zone: zones[i%len(zones)], slots: 6, least: least, most: most, record: f.record}
+		x := &replica{id: fmt.Sprint("i-", service, "-", version, "-", i), service: service, zone: zones[i%len(zones)], version: version, slots: 6, least: least, most: most, fails: fails, record: f.record}
 		if err := x.start(f.store); err != nil {
-			return err
+			return nil, err
 		}
-		f.replicas = append(f.replicas, x)
+		l = append(l, x)
 	}
-	return nil
+	f.replicas = append(f.replicas, l...)
+	return l, nil
 }
 
 // configure writes the next version of the configuration and returns its size in bytes.
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -19,11 +19,12 @@
 	"stop":   stopAndReload,
 	"config": growConfiguration,
 	"routes": useManyRoutes,
+	"move":   moveToBadVersion,
 }
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin stop|config|routes FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: standin stop|config|routes|move FOLDER")
 		os.Exit(cannotRun)
 	}
 	os.Exit(run(cases[os.Args[1]], os.Args[2]))
--- a/review/_standin/replica.go
+++ b/review/_standin/replica.go
@@ -15,10 +15,13 @@
 // replica is a sound replica of one service, as PROTOCOL.md describes it.
 type replica struct {
 	id, service, zone string
+	version           string
 	slots             int
 	least, most       time.Duration // work of one request
+	fails             func() bool   // whether the answer to a request that has run is a failure; nil for never
 
 	addr    string
+	server  *http.Server
 	record  *record
 	running atomic.Int64
 	waiting atomic.Int64
@@ -34,9 +37,10 @@
 		return err
 	}
 	r.addr, r.slot, r.runs = l.Addr().String(), make(chan struct{}, r.slots), map[string]int{}
-	go http.Serve(l, r)
+	r.server = &http.Server{Handler: r}
+	go r.server.Serve(l)
 	b, err := json.Marshal(map[string]any{
-		"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "concurrency": r.slots,
+		"service": r.service, "address": r.addr, "zone": r.zone, "version": r.version, "concurrency": r.slots,
 		"state": "ready", "warmupLeftMs": 0, "sequence": 1, "born": time.Now().UnixMilli(),
 	})
 	if err != nil {
@@ -46,6 +50,12 @@
 	return nil
 }
 
+// stop ends the replica at once and removes its entry.
+func (r *replica) stop(s *store) {
+	r.server.Close()
+	s.delete("servers/" + r.id)
+}
+
 // ran returns how often the replica has begun to run a request.
 func (r *replica) ran(id string) int {
 	r.mu.Lock()
@@ -99,5 +109,8 @@
 	}
 	h.Set("X-Server-Stamp", r.id+"."+id)
 	h.Set("X-Server-Load", fmt.Sprintf("%d,%d,%d", n, r.waiting.Load(), r.slots))
+	if r.fails != nil && r.fails() {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
 	io.WriteString(w, "answer of "+r.service)
 }
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -80,6 +80,22 @@
 	s.notify()
 }
 
+// delete removes a key as the operator or a replica does.
+func (s *store) delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove(key)
+	s.notify()
+}
+
+// value returns the value of a key, or nil.
+func (s *store) value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
 func (s *store) write(key string, value []byte, lease uint64) {
 	i := item{Key: key, Value: value, Rev: s.revision, CreateRevision: s.revision, Lease: lease}
 	if o, ok := s.items[key]; ok {
