--- a/cowslipentry/forwardcrash.go
+++ b/cowslipentry/forwardcrash.go
@@ -73,6 +73,7 @@
 		}
 	}
 	if len(lost) > 0 {
+		f.logLost(lost)
 		ended := f.clock.Now()
 		f.runInBackground(func(ctx context.Context) {
 			f.probeLost(ctx, ended, lost[:min(len(lost), maxCrashProbes)], len(answered) > 0)
--- a/cowslipentry/forwardlog.go
+++ b/cowslipentry/forwardlog.go
@@ -1,9 +1,13 @@
 package cowslipentry
 
 import (
+	"strings"
+
 	"cowslipflow/cowslipquery"
 	"cowslipflow/cowsliproute"
 	"cowslipflow/cowsliptarget"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // maxLoggedNames limits the shards, and the targets, that a log line names.
@@ -77,3 +81,16 @@
 	}
 	return m
 }
+
+// logLost logs a request that targets broke off or did not answer. Hashes of its parts tell
+// whether it is one that comes again, although a part of it has changed.
+func (f *forward) logLost(l []forwardResult) {
+	var targets []string
+	for _, x := range l[:min(len(l), maxLoggedNames)] {
+		targets = append(targets, x.target.Info().ID+" "+x.outcome.String())
+	}
+	_, query, _ := strings.Cut(f.request.URI, "?")
+	f.log.Info("requestLost", "id", f.request.ID, "fingerprint", formatFingerprint(f.fingerprint), "family", formatFingerprint(f.family),
+		"caller", f.request.Caller, "method", f.request.Method, "host", f.request.Host, "pathHash", formatFingerprint(xxhash.Sum64String(f.request.Path)),
+		"queryHash", formatFingerprint(xxhash.Sum64String(query)), "bodyHash", formatFingerprint(xxhash.Sum64(f.request.Body)), "targets", targets)
+}
