--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -1,6 +1,8 @@
 package cowslipcontrol
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"cowslipflow/cowslipconfig"
@@ -123,6 +125,9 @@
 	view            *cowsliproute.View
 	clearings       map[clearingKey]uint64 // revisions of those in the store, nil before it was read
 	crashVerdicts   map[uint64]cowsliproute.Suspicion
+	holds           map[uint64]*hold      // that the store shows, by content of the requests
+	newHolds        map[uint64]SharedHold // that the store must be told of, by content of the requests
+	liftedHolds     map[uint64]uint64     // revisions of holds that ended here and that the store still shows, by content
 	shortHolds      map[uint64]*shortHold // of quarantined requests that were answered shortly before, by fingerprint
 	effects         Effects
 }
@@ -133,6 +138,7 @@
 	Outcomes []*cowslipmessage.Outcome // record these outcomes of moves
 	Started  []cowslipconfig.Move      // record that these moves have started
 	Crashes  []SharedCrash             // tell the other instances of these crashes
+	Holds    []SharedHold              // write these holds to the store
 	Push     bool                      // exchange state with all peers immediately
 }
 
@@ -153,7 +159,7 @@
 		targetIndex: map[string]int{}, targetByAddr: map[string]*cowsliproute.Target{}, services: map[string]*service{},
 		domains:  map[string]*domainState{},
 		outcomes: map[string]*cowslipmessage.Outcome{}, recordedMoves: map[string]bool{}, stops: map[string]*cowslipmessage.Stop{},
-		serviceDirty: map[string]bool{}, targetsDirty: map[string]bool{}, clearedSuspects: map[uint64]map[string]time.Time{}, shortHolds: map[uint64]*shortHold{}, departedCounts: map[string]map[evidenceKey]counts{}, viewDirty: true, limitsDirty: true,
+		serviceDirty: map[string]bool{}, targetsDirty: map[string]bool{}, clearedSuspects: map[uint64]map[string]time.Time{}, shortHolds: map[uint64]*shortHold{}, liftedHolds: map[uint64]uint64{}, holds: map[uint64]*hold{}, departedCounts: map[string]map[evidenceKey]counts{}, viewDirty: true, limitsDirty: true,
 	}
 	return c
 }
@@ -174,6 +180,7 @@
 	c.runMoves(now)
 	c.runUnanswered(now)
 	c.runQuarantine(now)
+	c.effects.Holds = slices.Collect(maps.Values(c.newHolds))
 	c.runLimits(now)
 	c.lastTick = now
 	c.publish()
--- a/cowslipcontrol/quarantine.go
+++ b/cowslipcontrol/quarantine.go
@@ -177,7 +177,7 @@
 		maps.DeleteFunc(m, func(_ string, t time.Time) bool { return now.Sub(t) > quarantineTime })
 		return len(m) == 0
 	})
-	if !c.crashesDirty && len(c.crashes) == n && !c.anyShortHoldOver(now) {
+	if !c.crashesDirty && len(c.crashes) == n && !c.anyShortHoldOver(now) && !c.anyTrialDue(now) {
 		return
 	}
 	c.crashesDirty = false
@@ -207,6 +207,8 @@
 		c.crashVerdicts[x.fingerprint] = c.crashVerdicts[x.fingerprint].Merge(s)
 	}
 	c.shortenHolds(now, seen)
+	c.findNewHolds(now)
+	c.applyHolds(now)
 	for f, v := range c.crashVerdicts {
 		if v.Verdict == cowsliproute.Quarantined && before[f].Verdict != v.Verdict {
 			c.o.Event("requestQuarantined", fmt.Sprintf("%016x", f), holdDetail(now, v))
--- a/cowslipentry/clearing.go
+++ b/cowslipentry/clearing.go
@@ -16,8 +16,9 @@
 	// clearingLeaseTTL is how long a clearing stays in the store. Within it, all instances
 	// read the store.
 	clearingLeaseTTL = time.Minute
-	// clearingInterval limits how often an instance tells of the same request.
-	clearingInterval = time.Second
+	// clearingRetryInterval is the time between calls to a store that did not accept what
+	// follows from an answer.
+	clearingRetryInterval = time.Second
 )
 
 // decodeClearings returns the clearings among the store's values, with their revisions.
@@ -35,36 +36,38 @@
 // shareClearings tells the other instances that the services have answered the request, if
 // the store shows that targets of these services had crashed under it: an instance that saw
 // such crashes itself would hold the request for as long as they count.
-func (f *forward) shareClearings(services map[string]bool) {
+func (f *forward) shareClearings(ctx context.Context, services map[string]bool) {
 	crashed := map[string]bool{}
+	for _, s := range f.decodeHolds(f.mirror.Values()) {
+		for _, n := range s.Services {
+			crashed[n] = crashed[n] || s.Content == f.content && services[n]
+		}
+	}
 	for _, s := range decodeAll[cowslipcontrol.SharedCrash](f.log, valuesBelow(f.mirror.Values(), crashesPrefix)) {
 		if services[s.Service] && (s.Fingerprint == f.fingerprint || s.Family == f.family || s.Content == f.content) {
 			crashed[s.Service] = true
 		}
 	}
-	for n := range crashed {
+	for n, ok := range crashed {
+		if !ok {
+			continue
+		}
 		k := clearingsPrefix + formatFingerprint(f.fingerprint) + "/" + n
 		c := cowslipcontrol.SharedClearing{Fingerprint: f.fingerprint, Family: f.family, Content: f.content, Service: n}
-		f.startThrottled(k, clearingInterval, func(ctx context.Context) {
-			if err := f.writeClearing(ctx, k, c); err != nil {
-				f.log.Info("clearing not shared", "key", k, "reason", err)
-			}
-		})
+		f.untilAccepted(ctx, "clearing not shared", func(t context.Context) error { return f.writeClearing(t, k, c) })
 	}
 }
 
 func (e *Entry) writeClearing(ctx context.Context, key string, c cowslipcontrol.SharedClearing) error {
-	t, cancel := context.WithTimeout(ctx, platformCallTimeout)
-	defer cancel()
 	b, err := json.Marshal(c)
 	if err != nil {
 		return err
 	}
-	l, err := e.opts.Store.Grant(t, clearingLeaseTTL)
+	l, err := e.opts.Store.Grant(ctx, clearingLeaseTTL)
 	if err != nil {
 		return err
 	}
 	v, _ := e.mirror.Get(key) // a key that does not exist has revision 0
-	_, err = e.opts.Store.Put(t, cowslipplatform.Write{Key: key, Data: b, Expect: v.Revision, Lease: l})
+	_, err = e.opts.Store.Put(ctx, cowslipplatform.Write{Key: key, Data: b, Expect: v.Revision, Lease: l})
 	return err
 }
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -107,7 +107,7 @@
 	recorder        *cowsliprecord.Recorder
 	claimLimiter    *rate.Limiter
 	crashes         *crashQueue // to be written to the store
-	trials          sync.Map    // families of requests that were held and are tried again
+	trials          sync.Map    // contents of requests that were held and are tried again
 	answers         answers
 	doubtfulCrashes *crashQueue   // likewise, of targets that were merely silent when their run ended
 	loopDone        chan struct{} // closed when controlLoop returns
--- a/cowslipentry/follow.go
+++ b/cowslipentry/follow.go
@@ -355,11 +355,12 @@
 	r := e.mirror.Revision()
 	members := e.decodeMembers(values)
 	crashes := decodeAll[cowslipcontrol.SharedCrash](e.log, valuesBelow(values, crashesPrefix))
-	clearings := e.decodeClearings(values)
+	clearings, holds := e.decodeClearings(values), e.decodeHolds(values)
 	e.do(func(now time.Time, c *cowslipcontrol.Control) {
 		c.UpdateMembers(now, members)
 		c.UpdateClearings(now, clearings)
 		c.UpdateSharedCrashes(now, crashes)
+		c.UpdateHolds(now, holds)
 		if b.ConfigText != "" && b.ConfigText != c.Accepted().Text {
 			c.Offer(cowslipcontrol.Accepted{Revision: r, Text: b.ConfigText}, from)
 		}
--- a/cowslipentry/forward.go
+++ b/cowslipentry/forward.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"cowslipflow/cowslipcontrol"
 	"cowslipflow/cowslipquery"
 	"cowslipflow/cowsliproute"
 	"cowslipflow/cowsliptarget"
@@ -66,6 +67,7 @@
 	content     uint64 // of requests of any caller that may do so
 	incident    string // identifies this sending of the request; a caller may send several with one ID
 	suspicion   cowsliproute.Suspicion
+	trial       *cowslipcontrol.SharedHold // as the store shows it; nil if the request is not sent as a trial
 
 	relayedBy string // ID of the instance that served the request for this one, empty if none did
 
@@ -120,12 +122,6 @@
 	if f.suspicion.Verdict == cowsliproute.Quarantined {
 		return notRunReply("the request has crashed targets and is held", f.holdDelay())
 	}
-	if f.suspicion.Verdict == cowsliproute.Suspect && f.suspicion.Trial {
-		if !f.startTrial() {
-			return notRunReply("the request has crashed targets and is tried again", shortRetryAfter)
-		}
-		defer f.endTrial()
-	}
 	if f.tooLateToServe() {
 		return notRunReply("the instance is stopping and has too little time left", shortRetryAfter)
 	}
@@ -143,6 +139,9 @@
 	if x, ok := f.refuseHopeless(o); ok {
 		return x
 	}
+	if f.suspicion.Trial && !f.beginTrial(ctx) {
+		return notRunReply("the request has crashed targets and is tried elsewhere", trialRetryAfter)
+	}
 	f.options = o
 	f.dispatch = cowslipquery.NewDispatch(o)
 	f.results, f.done = make(chan forwardResult, len(o.Parts)), make(chan struct{})
--- a/cowslipentry/forwardcrash.go
+++ b/cowslipentry/forwardcrash.go
@@ -13,6 +13,7 @@
 	"cowslipflow/cowsliptarget"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 )
 
 const (
@@ -67,9 +68,13 @@
 	if len(f.services) > 0 && len(answered) == len(f.services) {
 		f.answers.add(f.clock.Now(), f.fingerprint)
 	}
-	if f.clears(answered) {
+	cleared := f.clears(answered)
+	if cleared {
 		f.runInBackground(func(ctx context.Context) { f.clearSuspect(ctx, answered) })
 	}
+	if f.trial != nil {
+		f.endTrial(cleared)
+	}
 	var lost []forwardResult
 	for _, x := range f.attempts {
 		switch x.outcome {
@@ -105,15 +110,6 @@
 	return m
 }
 
-// startTrial reports whether a request that was held may be tried again: each instance sends
-// one at a time. If so, endTrial must be called.
-func (f *forward) startTrial() bool {
-	_, busy := f.trials.LoadOrStore(f.family, true)
-	return !busy
-}
-
-func (f *forward) endTrial() { f.trials.Delete(f.family) }
-
 // clears reports whether answers of the given services clear the request of crashes. One that
 // was sent before the first of them may have been answered before it began to crash targets.
 func (f *forward) clears(answered map[string]bool) bool {
@@ -196,13 +192,19 @@
 			c.ClearSuspect(now, f.content, n)
 		}
 	})
-	f.shareClearings(services)
-	t, cancel := context.WithTimeout(ctx, platformCallTimeout)
-	defer cancel()
+	// Other instances must hear of the answer before the hold is gone, or they would hold the
+	// request again by the crashes that they know of.
+	f.shareClearings(ctx, services)
+	f.liftHold(ctx, services)
 	for _, v := range valuesBelow(f.mirror.Values(), crashesPrefix) {
-		if err := f.clearShared(t, v, services); err != nil {
-			f.log.Info("crash not removed from the store", "key", v.Key, "reason", err)
-		}
+		f.untilAccepted(ctx, "crash not removed from the store", func(t context.Context) error {
+			err := f.clearShared(t, v, services)
+			if errors.Is(err, cowslipplatform.ErrConflict) {
+				// It has changed since, or another instance has removed it.
+				return nil
+			}
+			return err
+		})
 	}
 }
 
--- a/cowslipentry/loop.go
+++ b/cowslipentry/loop.go
@@ -49,6 +49,9 @@
 	if len(x.Outcomes) > 0 {
 		e.recordMoveOutcomes(x.Outcomes)
 	}
+	if e.opts.Edge != nil {
+		e.shareHolds(x.Holds)
+	}
 	if len(x.Crashes) > 0 {
 		e.shareEndedRuns(v, x.Crashes)
 	}
--- /dev/null
+++ b/cowslipentry/requesthold.go
@@ -0,0 +1,211 @@
+package cowslipentry
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"cowslipflow/cowslipcontrol"
+	"cowslipflow/cowslipplatform"
+	"cowslipflow/cowsliptarget"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// holdsPrefix is the prefix of the keys that show which requests are held, and how often
+	// they were tried. They have no lease, as a hold lasts longer than any lease may.
+	holdsPrefix = "cowslipflow/holds/"
+	// maxHolds bounds the holds in the store; the oldest is removed first.
+	maxHolds = 1024
+	// holdWriteInterval limits how often an instance tells of the same hold.
+	holdWriteInterval = time.Second
+	// trialPermitTimeout limits how long a caller waits for the store to permit a trial.
+	trialPermitTimeout = 300 * time.Millisecond
+	// trialRetryAfter is the time between calls for a permit that was not given, and the delay
+	// that callers of a request are told to wait that is tried elsewhere.
+	trialRetryAfter = time.Second
+)
+
+func holdKey(content uint64) string { return holdsPrefix + formatFingerprint(content) }
+
+// decodeHolds returns the holds among the store's values, with their revisions.
+func (e *Entry) decodeHolds(values []cowslipplatform.Value) []cowslipcontrol.SharedHold {
+	var l []cowslipcontrol.SharedHold
+	for _, v := range valuesBelow(values, holdsPrefix) {
+		for _, s := range decodeAll[cowslipcontrol.SharedHold](e.log, []cowslipplatform.Value{v}) {
+			s.Revision = v.Revision
+			if s.Expired(e.clock.Now()) {
+				e.removeHold(s)
+			}
+			l = append(l, s)
+		}
+	}
+	return l
+}
+
+// removeHold removes a hold from the store unless it has changed.
+func (e *Entry) removeHold(s cowslipcontrol.SharedHold) {
+	k := holdKey(s.Content)
+	e.startThrottled("remove "+k, holdWriteInterval, func(ctx context.Context) {
+		t, cancel := context.WithTimeout(ctx, platformCallTimeout)
+		defer cancel()
+		if err := e.opts.Store.Delete(t, k, s.Revision); err != nil {
+			e.log.Info("hold not removed from the store", "key", k, "reason", err)
+		}
+	})
+}
+
+// shareHolds writes holds that the store does not show yet.
+func (e *Entry) shareHolds(l []cowslipcontrol.SharedHold) {
+	for _, s := range l {
+		k := holdKey(s.Content)
+		e.startThrottled(k, holdWriteInterval, func(ctx context.Context) {
+			if s.Revision == 0 {
+				e.makeRoomForHold()
+			}
+			if _, err := e.writeHold(ctx, s, platformCallTimeout); err != nil {
+				e.log.Info("hold not shared", "key", k, "reason", err)
+			}
+		})
+	}
+}
+
+// makeRoomForHold removes the oldest hold if the store has too many.
+func (e *Entry) makeRoomForHold() {
+	var l []cowslipcontrol.SharedHold
+	oldest := 0
+	for _, s := range e.decodeHolds(e.mirror.Values()) {
+		if l = append(l, s); s.At.Before(l[oldest].At) {
+			oldest = len(l) - 1
+		}
+	}
+	if len(l) >= maxHolds {
+		e.removeHold(l[oldest])
+	}
+}
+
+// writeHold writes a hold to the store, in place of its revision, and returns it with the new one.
+func (e *Entry) writeHold(ctx context.Context, s cowslipcontrol.SharedHold, timeout time.Duration) (cowslipcontrol.SharedHold, error) {
+	b, err := json.Marshal(s)
+	if err != nil {
+		return s, err
+	}
+	t, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if s.Revision, err = e.opts.Store.Put(t, cowslipplatform.Write{Key: holdKey(s.Content), Data: b, Expect: s.Revision}); err != nil {
+		return s, err
+	}
+	e.do(func(now time.Time, c *cowslipcontrol.Control) { c.HoldWritten(now, s) })
+	return s, nil
+}
+
+// beginTrial asks the store to permit a trial of a request that was held, and reports whether
+// it did. All instances together make few trials: if the store does not answer, there is none.
+func (f *forward) beginTrial(ctx context.Context) bool {
+	if _, busy := f.trials.LoadOrStore(f.content, true); busy {
+		return false
+	}
+	var s cowslipcontrol.SharedHold
+	due := false
+	f.do(func(now time.Time, c *cowslipcontrol.Control) {
+		s, due = c.BeginTrial(now, f.content, f.triedSubjects()...)
+	})
+	if due {
+		var err error
+		if s, err = f.writeHold(ctx, s, trialPermitTimeout); err == nil {
+			f.trial = &s
+			f.event("requestTried", formatFingerprint(f.content), "trial "+strconv.Itoa(s.Trials)+" is request "+f.request.ID)
+			return true
+		}
+		f.log.Info("trial not permitted", "id", f.request.ID, "content", formatFingerprint(f.content), "reason", err)
+	}
+	f.runInBackground(func(ctx context.Context) {
+		f.sleep(ctx, trialRetryAfter)
+		f.trials.Delete(f.content)
+	})
+	return false
+}
+
+// triedSubjects returns the fingerprint, the family or the content of the request, whichever
+// may be tried again.
+func (f *forward) triedSubjects() []uint64 {
+	var l []uint64
+	for _, n := range []uint64{f.fingerprint, f.family, f.content} {
+		if f.view.Suspicion(n).Trial {
+			l = append(l, n)
+		}
+	}
+	return l
+}
+
+// endTrial ends a trial. One under which no target may have crashed is taken back, unless it
+// was answered and so lifted the hold.
+func (f *forward) endTrial(lifted bool) {
+	f.trials.Delete(f.content)
+	if lifted || !f.survived() {
+		return
+	}
+	s := *f.trial
+	s.Trials--
+	f.runInBackground(func(ctx context.Context) {
+		if _, err := f.writeHold(ctx, s, platformCallTimeout); err != nil {
+			f.log.Info("trial not taken back", "id", f.request.ID, "content", formatFingerprint(f.content), "reason", err)
+		}
+	})
+}
+
+// liftHold ends the hold of the request, which targets of the given services have answered.
+func (f *forward) liftHold(ctx context.Context, answered map[string]bool) {
+	var revision uint64
+	lifted := false
+	f.do(func(_ time.Time, c *cowslipcontrol.Control) {
+		revision, lifted = c.LiftHold(f.content, answered, f.services)
+	})
+	if !lifted {
+		return
+	}
+	f.event("holdLifted", formatFingerprint(f.content), "targets answered request "+f.request.ID)
+	f.untilAccepted(ctx, "hold not removed from the store", func(t context.Context) error {
+		k := holdKey(f.content)
+		err := f.opts.Store.Delete(t, k, revision)
+		if !errors.Is(err, cowslipplatform.ErrConflict) {
+			return err
+		}
+		v, err := f.opts.Store.Get(t, k)
+		if err != nil {
+			return err
+		}
+		revision = v.Revision
+		f.do(func(_ time.Time, c *cowslipcontrol.Control) { c.ForgetHold(f.content, revision) })
+		return f.opts.Store.Delete(t, k, revision)
+	})
+}
+
+// untilAccepted calls the store until it accepts the call, or has nothing to change.
+func (f *forward) untilAccepted(ctx context.Context, failure string, call func(context.Context) error) {
+	for {
+		t, cancel := context.WithTimeout(ctx, platformCallTimeout)
+		err := call(t)
+		cancel()
+		if err == nil || errors.Is(err, cowslipplatform.ErrNotFound) {
+			return
+		}
+		f.log.Info(failure, "id", f.request.ID, "fingerprint", formatFingerprint(f.fingerprint), "reason", err)
+		if !f.sleep(ctx, clearingRetryInterval) {
+			return
+		}
+	}
+}
+
+// survived reports whether no target may have crashed under the request.
+func (f *forward) survived() bool {
+	for _, x := range f.attempts {
+		switch x.outcome {
+		case cowsliptarget.Lost, cowsliptarget.Corrupt, cowsliptarget.Cancelled:
+			return false
+		}
+	}
+	return true
+}
