--- a/cowslipcontrol/clearing.go
+++ b/cowslipcontrol/clearing.go
@@ -23,12 +23,18 @@
 
 // UpdateClearings replaces the clearings that the store holds. A new one dismisses the crashes
 // known so far, also those that this instance has seen itself. It must be called before
-// UpdateSharedCrashes, so that crashes that become known together with it still count. Those
-// that the store holds at the start are older than its crashes, and are ignored.
+// UpdateSharedCrashes, so that crashes that become known together with it still count, except
+// those that the store had accepted earlier. One that the store holds at the start dismisses
+// nothing else.
 func (c *Control) UpdateClearings(now time.Time, l []SharedClearing) {
 	known := c.clearings
 	c.clearings = make(map[clearingKey]uint64, len(l))
+	c.clearedUpTo = make(map[clearingKey]uint64, len(l))
 	for _, x := range l {
+		for _, f := range []uint64{x.Fingerprint, x.Family, x.Content} {
+			k := clearingKey{f, x.Service}
+			c.clearedUpTo[k] = max(c.clearedUpTo[k], x.Revision)
+		}
 		k := clearingKey{x.Fingerprint, x.Service}
 		c.clearings[k] = x.Revision
 		if known == nil || x.Revision <= known[k] {
@@ -46,3 +52,16 @@
 		}
 	}
 }
+
+// uncleared returns what a crash in the store still says after the clearings that the store has
+// accepted since, and reports whether it says anything.
+func (c *Control) uncleared(s SharedCrash) (SharedCrash, bool) {
+	since := func(f uint64) bool { return s.Revision > 0 && c.clearedUpTo[clearingKey{f, s.Service}] > s.Revision }
+	if since(s.Family) {
+		s.Family = 0
+	}
+	if since(s.Content) {
+		s.Content = 0
+	}
+	return s, !since(s.Fingerprint)
+}
--- a/cowslipcontrol/clearing_test.go
+++ b/cowslipcontrol/clearing_test.go
@@ -1,6 +1,7 @@
 package cowslipcontrol_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -56,3 +57,34 @@
 		})
 	}
 }
+
+// Guards against an instance that starts after others have cleared a request, while the crashes
+// are still to be removed from the store: those that the store accepted before the clearing
+// count no more, and later ones do.
+func TestClearingsBeforeTheStart(t *testing.T) {
+	const fingerprint, family, content = 7, 8, 9
+	crash := func(n int, revision uint64) cowslipcontrol.SharedCrash {
+		return cowslipcontrol.SharedCrash{Fingerprint: fingerprint, Family: family, Content: content, Incident: fmt.Sprint("q", n), EndedRun: fmt.Sprint("h", n), Service: "households", Revision: revision}
+	}
+	for _, c := range []struct {
+		name    string
+		clears  uint64 // fingerprint
+		service string
+		crashes []cowslipcontrol.SharedCrash
+		want    cowsliproute.CrashVerdict
+	}{
+		{"older crashes", fingerprint, "households", []cowslipcontrol.SharedCrash{crash(1, 3), crash(2, 4)}, cowsliproute.Harmless},
+		{"one older", fingerprint, "households", []cowslipcontrol.SharedCrash{crash(1, 3), crash(2, 6)}, cowsliproute.Suspect},
+		{"newer crashes", fingerprint, "households", []cowslipcontrol.SharedCrash{crash(1, 6), crash(2, 7)}, cowsliproute.Quarantined},
+		{"of another request of the family", 17, "households", []cowslipcontrol.SharedCrash{crash(1, 3), crash(2, 4)}, cowsliproute.Quarantined},
+		{"of another service", fingerprint, "diaries", []cowslipcontrol.SharedCrash{crash(1, 3), crash(2, 4)}, cowsliproute.Quarantined},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := cowslipcontrol.New(cowslipcontrol.Options{ID: "e1", ListOnly: true}, t0)
+			x.UpdateClearings(t0, []cowslipcontrol.SharedClearing{{Fingerprint: c.clears, Family: family, Content: content, Service: c.service, Revision: 5}})
+			x.UpdateSharedCrashes(t0, c.crashes)
+			x.Tick(t0)
+			require.Equal(t, c.want, x.View().CrashVerdict(fingerprint))
+		})
+	}
+}
--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -124,6 +124,7 @@
 	clearedSuspects map[uint64]map[string]time.Time // when targets last answered a suspect request, by fingerprint and service
 	view            *cowsliproute.View
 	clearings       map[clearingKey]uint64 // revisions of those in the store, nil before it was read
+	clearedUpTo     map[clearingKey]uint64 // revisions of the last ones in the store, by fingerprint, family or content
 	crashVerdicts   map[uint64]cowsliproute.Suspicion
 	holds           map[uint64]*hold      // that the store shows, by content of the requests
 	newHolds        map[uint64]SharedHold // that the store must be told of, by content of the requests
--- a/cowslipcontrol/quarantine.go
+++ b/cowslipcontrol/quarantine.go
@@ -90,6 +90,7 @@
 	Partial     bool      `json:"partial,omitempty"`  // targets of other services answered the request
 	Answered    bool      `json:"answered,omitempty"` // another sending of the request was answered shortly before
 	Trial       bool      `json:"trial,omitempty"`    // the request was sent after a hold
+	Revision    uint64    `json:"-"`                  // of the store; 0 if it is not known
 }
 
 // Shared returns the crash as instances tell each other.
@@ -114,6 +115,10 @@
 	}
 	rows := make([]crash, 0, len(l))
 	for _, s := range l {
+		s, ok := c.uncleared(s)
+		if !ok {
+			continue
+		}
 		x := s.row(now)
 		if at, ok := knownSince[key{x.incident, x.endedRun}]; ok {
 			x.at = at
--- a/cowslipentry/clearing.go
+++ b/cowslipentry/clearing.go
@@ -23,14 +23,7 @@
 
 // decodeClearings returns the clearings among the store's values, with their revisions.
 func (e *Entry) decodeClearings(values []cowslipplatform.Value) []cowslipcontrol.SharedClearing {
-	var l []cowslipcontrol.SharedClearing
-	for _, v := range valuesBelow(values, clearingsPrefix) {
-		for _, x := range decodeAll[cowslipcontrol.SharedClearing](e.log, []cowslipplatform.Value{v}) {
-			x.Revision = v.Revision
-			l = append(l, x)
-		}
-	}
-	return l
+	return decodeRevisions(e, values, clearingsPrefix, func(x *cowslipcontrol.SharedClearing, revision uint64) { x.Revision = revision })
 }
 
 // shareClearings tells the other instances that the services have answered the request, if
--- a/cowslipentry/crashqueue.go
+++ b/cowslipentry/crashqueue.go
@@ -91,6 +91,23 @@
 	return s
 }
 
+// decodeCrashes returns the crashes among the store's values, with their revisions.
+func (e *Entry) decodeCrashes(values []cowslipplatform.Value) []cowslipcontrol.SharedCrash {
+	return decodeRevisions(e, values, crashesPrefix, func(s *cowslipcontrol.SharedCrash, revision uint64) { s.Revision = revision })
+}
+
+// decodeRevisions decodes the values below a prefix, and sets the revision of each.
+func decodeRevisions[T any](e *Entry, values []cowslipplatform.Value, prefix string, set func(x *T, revision uint64)) []T {
+	var l []T
+	for _, v := range valuesBelow(values, prefix) {
+		for _, x := range decodeAll[T](e.log, []cowslipplatform.Value{v}) {
+			set(&x, v.Revision)
+			l = append(l, x)
+		}
+	}
+	return l
+}
+
 // shareCrash queues a crash for the store, through which the other instances hear of it.
 func (e *Entry) shareCrash(q *crashQueue, s cowslipcontrol.SharedCrash) {
 	if !q.add(s) {
--- a/cowslipentry/follow.go
+++ b/cowslipentry/follow.go
@@ -354,7 +354,7 @@
 	}
 	r := e.mirror.Revision()
 	members := e.decodeMembers(values)
-	crashes := decodeAll[cowslipcontrol.SharedCrash](e.log, valuesBelow(values, crashesPrefix))
+	crashes := e.decodeCrashes(values)
 	clearings, holds := e.decodeClearings(values), e.decodeHolds(values)
 	e.do(func(now time.Time, c *cowslipcontrol.Control) {
 		c.UpdateMembers(now, members)
--- a/cowslipentry/requesthold.go
+++ b/cowslipentry/requesthold.go
@@ -32,14 +32,10 @@
 
 // decodeHolds returns the holds among the store's values, with their revisions.
 func (e *Entry) decodeHolds(values []cowslipplatform.Value) []cowslipcontrol.SharedHold {
-	var l []cowslipcontrol.SharedHold
-	for _, v := range valuesBelow(values, holdsPrefix) {
-		for _, s := range decodeAll[cowslipcontrol.SharedHold](e.log, []cowslipplatform.Value{v}) {
-			s.Revision = v.Revision
-			if s.Expired(e.clock.Now()) {
-				e.removeHold(s)
-			}
-			l = append(l, s)
+	l := decodeRevisions(e, values, holdsPrefix, func(s *cowslipcontrol.SharedHold, revision uint64) { s.Revision = revision })
+	for _, s := range l {
+		if s.Expired(e.clock.Now()) {
+			e.removeHold(s)
 		}
 	}
 	return l
