Tests: a failed soak tells when instances read the requests with late deadlines

The known reds of the soak beside load can't be told apart: the instance read the request late, or the replica of the test noted it late. A failed move prints its events.

--- a/cowslipentry/move_test.go
+++ b/cowslipentry/move_test.go
@@ -56,6 +56,12 @@
 	c := newCluster(t)
 	v2Targets := c.startMove(cowslipstandin.TargetFaults{})
 	stop := queryContinuously(c, "diaries")
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(c.timeline(0).Events)
+			t.Log(c.moveReport())
+		}
+	})
 	c.eventually("done", func() bool { return c.moveReport().State == "done" })
 	require.True(t, time.Now().Before(c.moveReport().By.Add(time.Second)))
 	c.eventually("reported", func() bool { return c.countEvents("moveDone") == 1 })
