Crashes: answers to other callers shorten the hold of a request held by its content

A harmless request that ever other callers send, and under which targets crashed for another reason, would be held for ten minutes: answers were remembered by the caller's fingerprint alone. They are remembered by content too. TestHarmlessRequestReturnsSoonThroughProcesses, ever other callers: not served again within 20 s before, after 4.9 to 5.4 s now.

--- a/cowslipentry/forwardcrash.go
+++ b/cowslipentry/forwardcrash.go
@@ -67,6 +67,7 @@
 	answered := f.answeredServices(x)
 	if len(f.services) > 0 && len(answered) == len(f.services) {
 		f.answers.add(f.clock.Now(), f.fingerprint)
+		f.answers.add(f.clock.Now(), f.content)
 	}
 	cleared := f.clears(answered)
 	if cleared {
@@ -140,7 +141,7 @@
 // those that may have. Partial says whether targets of other services answered the request,
 // which ended at the given time.
 func (f *forward) probeLost(ctx context.Context, ended time.Time, l []forwardResult, partial bool) {
-	answered := f.answers.has(f.clock.Now(), f.fingerprint)
+	answered := f.answers.has(f.clock.Now(), f.fingerprint) || f.answers.has(f.clock.Now(), f.content)
 	var unanswered []cowslipcontrol.Crash
 	for _, x := range l {
 		k := cowslipcontrol.Crash{Fingerprint: f.fingerprint, Family: f.family, Content: f.content, Incident: f.incident, Sent: f.start, Ended: ended, Target: x.target, Incarnation: x.incarnation, Partial: partial, Answered: answered, Trial: f.suspicion.Trial}
