Crashes: any instance that answered a request before makes its hold short

An instance that has answered requests with the content lately now tries it after 5 s. After a trial under which no target is known to have crashed, the next is due after 5 s, too, instead of 10 s; those under which one crashed hold it for 10 s as before, and there are two in all.

--- a/cowslipcontrol/requesthold.go
+++ b/cowslipcontrol/requesthold.go
@@ -36,12 +36,10 @@
 // Expired reports whether the hold is over at now, whether or not a trial was answered.
 func (s SharedHold) Expired(now time.Time) bool { return now.Sub(s.At) > HoldTime }
 
-// wait returns how long after the hold, or after its last trial, the next trial is due.
+// wait returns how long after the hold, or after its last trial, the next trial is due, unless
+// targets are known to have crashed under trials: these hold the request for longer.
 func (s SharedHold) wait() time.Duration {
-	switch {
-	case s.Trials > 0:
-		return holdLength(s.Trials)
-	case s.Answered:
+	if s.Trials > 0 || s.Answered {
 		return firstHold
 	}
 	return quarantineTime
@@ -103,6 +101,8 @@
 	if known != nil && known.Trials == s.Trials {
 		h.since = known.since
 	}
+	// The instance that wrote the hold may not have answered the request, but this one.
+	h.Answered = s.Answered || known != nil && known.Answered || known == nil && c.o.AnsweredSince(now, time.Time{}, s.Content)
 	c.holds[s.Content] = h
 }
 
