Peer protocol: messages for usage, crash warnings and what is learned about targets

Three parts that come next need calls between instances. They are declared together, so that generated code changes once. A server without a handler fails the call; nothing sends one yet.

--- a/cowslippeer/client.go
+++ b/cowslippeer/client.go
@@ -38,6 +38,24 @@
 	return call(ctx, c, func(p cowslipmessage.DRPCPeerClient) (*cowslipmessage.FollowReply, error) { return p.Follow(ctx, r) })
 }
 
+// Usage gives the peer, the holder of the usage duty, this instance's counts.
+func (c *Client) Usage(ctx context.Context, r *cowslipmessage.UsageReport) (*cowslipmessage.UsageReply, error) {
+	return call(ctx, c, func(p cowslipmessage.DRPCPeerClient) (*cowslipmessage.UsageReply, error) { return p.Usage(ctx, r) })
+}
+
+// Warn reports targets that crashed under a wide request.
+func (c *Client) Warn(ctx context.Context, w *cowslipmessage.CrashWarning) error {
+	_, err := call(ctx, c, func(p cowslipmessage.DRPCPeerClient) (*cowslipmessage.CrashWarningReply, error) {
+		return p.Warn(ctx, w)
+	})
+	return err
+}
+
+// Learn sends what this instance has learned about targets and returns what the peer has.
+func (c *Client) Learn(ctx context.Context, m *cowslipmessage.TargetEstimates) (*cowslipmessage.TargetEstimates, error) {
+	return call(ctx, c, func(p cowslipmessage.DRPCPeerClient) (*cowslipmessage.TargetEstimates, error) { return p.Learn(ctx, m) })
+}
+
 // Close closes the connection.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/cowslippeer/server.go
+++ b/cowslippeer/server.go
@@ -12,14 +12,21 @@
 )
 
 // Server handles requests of other entry instances. Its functions must be set
-// before Serve is called, and must be safe for concurrent use.
+// before Serve is called, and must be safe for concurrent use. OnUsage, OnWarn and OnLearn
+// may be nil; their calls then fail.
 type Server struct {
 	OnExchange func(context.Context, *cowslipmessage.State) (*cowslipmessage.State, error)
 	OnEvents   func(context.Context, *cowslipmessage.EventsRequest) (*cowslipmessage.EventsReply, error)
 	OnFollow   func(context.Context, *cowslipmessage.FollowRequest) (*cowslipmessage.FollowReply, error)
 	OnRelay    func(cowslipmessage.DRPCPeer_RelayStream) error
+	OnUsage    func(context.Context, *cowslipmessage.UsageReport) (*cowslipmessage.UsageReply, error)
+	OnWarn     func(context.Context, *cowslipmessage.CrashWarning) (*cowslipmessage.CrashWarningReply, error)
+	OnLearn    func(context.Context, *cowslipmessage.TargetEstimates) (*cowslipmessage.TargetEstimates, error)
 }
 
+// errUnsupported is the error of a call whose function is not set.
+const errUnsupported = errors.ConstError("cowslippeer: call not supported")
+
 // Exchange implements the Exchange method of the protocol by calling OnExchange.
 func (s *Server) Exchange(ctx context.Context, m *cowslipmessage.State) (*cowslipmessage.State, error) {
 	return s.OnExchange(ctx, m)
@@ -38,6 +45,30 @@
 // Relay implements the Relay method of the protocol by calling OnRelay.
 func (s *Server) Relay(x cowslipmessage.DRPCPeer_RelayStream) error { return s.OnRelay(x) }
 
+// Usage implements the Usage method of the protocol by calling OnUsage.
+func (s *Server) Usage(ctx context.Context, r *cowslipmessage.UsageReport) (*cowslipmessage.UsageReply, error) {
+	if s.OnUsage == nil {
+		return nil, errUnsupported
+	}
+	return s.OnUsage(ctx, r)
+}
+
+// Warn implements the Warn method of the protocol by calling OnWarn.
+func (s *Server) Warn(ctx context.Context, w *cowslipmessage.CrashWarning) (*cowslipmessage.CrashWarningReply, error) {
+	if s.OnWarn == nil {
+		return nil, errUnsupported
+	}
+	return s.OnWarn(ctx, w)
+}
+
+// Learn implements the Learn method of the protocol by calling OnLearn.
+func (s *Server) Learn(ctx context.Context, m *cowslipmessage.TargetEstimates) (*cowslipmessage.TargetEstimates, error) {
+	if s.OnLearn == nil {
+		return nil, errUnsupported
+	}
+	return s.OnLearn(ctx, m)
+}
+
 // Serve accepts connections until ctx ends, then closes l.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	m := drpcmux.New()
