--- a/cowslipentry/edge.go
+++ b/cowslipentry/edge.go
@@ -70,6 +70,10 @@
 	Signature string // the target's signature of the response, empty if there is none
 	Report    cowsliptarget.Report
 
+	// ReportProblem says why the target's load report was not used, empty if it was or if
+	// there was none.
+	ReportProblem string
+
 	// RetryAfter is how long the target wants no requests from this instance, 0 if it
 	// does not say.
 	RetryAfter time.Duration
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -35,6 +35,7 @@
 	claimBurst        = 20
 	stopTimeout       = 2 * time.Second
 	connSweepInterval = time.Second
+	reportLogInterval = time.Minute            // between log lines about malformed load reports
 	bufferDivisor     = 4                      // messages may hold 1/4 of the memory; copies and unused allocations take as much again
 	graceMargin       = 700 * time.Millisecond // time to deregister before the grace period ends
 	lastAnswerMargin  = 200 * time.Millisecond // time to write the last answers before connections are cut
@@ -119,6 +120,7 @@
 	background      sync.WaitGroup // tasks that may outlive the request that started them
 	activeTasks     sync.Map       // running tasks that must not run twice at once; the key is the target for a probe, otherwise the name
 	metrics         *Metrics
+	reportLogs      rate.Sometimes // limits the log lines about malformed load reports
 	ctx             context.Context
 	cancel          context.CancelFunc
 	answering       context.Context // ends when a stopping instance must answer all requests
@@ -173,6 +175,7 @@
 		crashes:         newCrashQueue(crashShareRate, crashShareBurst),
 		doubtfulCrashes: newCrashQueue(doubtfulShareRate, 1),
 		metrics:         newMetrics(o.ID),
+		reportLogs:      rate.Sometimes{First: 1, Interval: reportLogInterval},
 		mirror:          &cowslipmirror.Mirror{},
 	}
 	e.buffers = cowsliptarget.NewBuffers(o.Memory / bufferDivisor)
--- a/cowslipentry/forwardlearn.go
+++ b/cowslipentry/forwardlearn.go
@@ -26,6 +26,12 @@
 		t.Pause(now.Add(x.info.RetryAfter))
 		f.log.Info("target paused", "id", f.request.ID, "target", t.Info().ID, "forMillis", x.info.RetryAfter.Milliseconds())
 	}
+	if x.info.ReportProblem != "" {
+		f.metrics.reportsRejected.Add(1)
+		f.reportLogs.Do(func() {
+			f.log.Warn("load report rejected", "target", t.Info().ID, "reason", x.info.ReportProblem)
+		})
+	}
 	if r.Slots > 0 {
 		t.SetLoad(r.Running + r.Queued)
 	}
--- a/cowslipentry/metrics.go
+++ b/cowslipentry/metrics.go
@@ -37,6 +37,7 @@
 	samplesLost       *expvar.Int
 	storeCalls        *expvar.Int
 	poolFull          *expvar.Int
+	reportsRejected   *expvar.Int // load reports of targets that are malformed
 
 	relayed      *expvar.Int // requests that a relay answered for this instance
 	relaysFailed *expvar.Int // requests offered to a relay that did not accept them or did not answer
@@ -64,6 +65,7 @@
 	m.probes, m.exchanges, m.ticks, m.tickNanos = n("probes"), n("exchanges"), n("ticks"), n("tickNanos")
 	m.storeCalls = n("storeCalls")
 	m.samplesLost, m.poolFull = n("samplesLost"), n("poolFull")
+	m.reportsRejected = n("loadReportsRejected")
 	m.relayed, m.relaysFailed = n("relayed"), n("relaysFailed")
 	m.vars.Set("queryLatencyMicros", expvar.Func(m.quantiles))
 	m.vars.Set("routes", expvar.Func(func() any { return m.routes.snapshot() }))
--- a/cowsliptarget/message.go
+++ b/cowsliptarget/message.go
@@ -30,6 +30,10 @@
 	Slots       int       `json:"slots"`
 	Holdings    []Holding `json:"holdings,omitempty"`
 
+	// Slowdown is how long work takes on the target's machine at the moment of the report,
+	// relative to the usual time; 0 if the target does not state it.
+	Slowdown float64 `json:"slowdown,omitempty"`
+
 	// RequestLimit is how many requests per second the target takes from all entry
 	// instances together, 0 for no limit. It applies as long as responses state it.
 	RequestLimit float64 `json:"requestLimit,omitempty"`
