Configuration: workspaces with keys, and public routes

Cause: callers are to be identified by the key of a workspace. Change: [[workspaces]] with name, keys or keyDigests, priority and weight; routes have public; requireKey asks for keys although no workspace is left, so that a configuration whose workspaces are all invalid does not open the routes to everyone.

--- a/cowslipconfig/check.go
+++ b/cowslipconfig/check.go
@@ -55,7 +55,7 @@
 }
 
 func (k *checker) buildConfig(r Spec) *Config {
-	c := &Config{baseRevision: r.Revision}
+	c := &Config{baseRevision: r.Revision, requireKey: r.RequireKey}
 	names := map[string]bool{}
 	for i, d := range r.FailureDomains {
 		p := fmt.Sprintf("failureDomains[%d]", i)
@@ -78,6 +78,7 @@
 	}
 	k.checkDependencies(c)
 	k.buildRoutes(c, r.Routes)
+	k.buildWorkspaces(c, r.Workspaces)
 	k.buildMoves(c, r.Moves)
 	return c
 }
--- a/cowslipconfig/config.go
+++ b/cowslipconfig/config.go
@@ -26,6 +26,8 @@
 	services     []Service
 	routes       []Route
 	moves        []Move
+	requireKey   bool
+	workspaces   []Workspace
 }
 
 // BaseRevision is the revision that this configuration is an edit of, 0 if it
@@ -44,6 +46,13 @@
 // Routes lists the routes in the order of the configuration.
 func (c *Config) Routes() []Route { return c.routes }
 
+// KeyRequired reports whether requests need the key of a workspace, except those on public
+// routes.
+func (c *Config) KeyRequired() bool { return c.requireKey || len(c.workspaces) > 0 }
+
+// Workspaces lists the workspaces in the order of the configuration.
+func (c *Config) Workspaces() []Workspace { return c.workspaces }
+
 // Moves lists the moves in the order of the configuration.
 func (c *Config) Moves() []Move { return c.moves }
 
--- a/cowslipconfig/doc.go
+++ b/cowslipconfig/doc.go
@@ -1,6 +1,6 @@
 // Package cowslipconfig parses and validates the operators' configuration: the
 // services and their dependencies, the failure domains, the caller classes, the
-// routes, and the moves between versions.
+// routes, the workspaces, and the moves between versions.
 //
 // The configuration is TOML, and unknown keys are errors. Every problem is
 // reported with its line, its field, a message and a hint how to correct it. A
--- a/cowslipconfig/route.go
+++ b/cowslipconfig/route.go
@@ -29,6 +29,7 @@
 	timeout       time.Duration
 	latencyTarget time.Duration
 	priority      int
+	public        bool
 }
 
 // Share is a service of a split, with its weight.
@@ -86,6 +87,10 @@
 // highest: it is shed last.
 func (r Route) Priority() int { return r.priority }
 
+// Public reports whether requests are served without a key, if the configuration has
+// workspaces.
+func (r Route) Public() bool { return r.public }
+
 func (k *checker) buildRoutes(c *Config, l []RouteSpec) {
 	names := map[string]bool{}
 	kinds := make(map[string]Kind, len(c.services))
@@ -100,7 +105,7 @@
 func (k *checker) buildRoute(p string, r RouteSpec, names map[string]bool, kinds map[string]Kind) Route {
 	k.checkName(p, r.Name, names)
 	x := Route{
-		name: r.Name, host: strings.ToLower(r.Host), prefix: r.Prefix, once: r.Once, gather: r.Gather, top: r.Top, minCoverage: r.MinCoverage, priority: r.Priority,
+		name: r.Name, host: strings.ToLower(r.Host), prefix: r.Prefix, once: r.Once, gather: r.Gather, top: r.Top, minCoverage: r.MinCoverage, priority: r.Priority, public: r.Public,
 		attempts: orDefault(r.Attempts, defaultAttempts), timeout: orDefault(time.Duration(r.Timeout), defaultDeadline),
 	}
 	x.latencyTarget = orDefault(time.Duration(r.LatencyTarget), x.timeout/defaultLatencyDivisor)
--- a/cowslipconfig/spec.go
+++ b/cowslipconfig/spec.go
@@ -16,6 +16,8 @@
 	Classes        []ClassSpec         `toml:"classes,omitempty"`
 	Services       []ServiceSpec       `toml:"services,omitempty"`
 	Routes         []RouteSpec         `toml:"routes,omitempty"`
+	RequireKey     bool                `toml:"requireKey,omitempty"`
+	Workspaces     []WorkspaceSpec     `toml:"workspaces,omitempty"`
 	Moves          []MoveSpec          `toml:"moves,omitempty"`
 }
 
@@ -65,6 +67,16 @@
 	Timeout       Duration    `toml:"timeout,omitempty"`
 	LatencyTarget Duration    `toml:"latencyTarget,omitempty"`
 	Priority      int         `toml:"priority,omitempty"`
+	Public        bool        `toml:"public,omitempty"`
+}
+
+// WorkspaceSpec is an entry of [[workspaces]].
+type WorkspaceSpec struct {
+	Name       string   `toml:"name,omitempty"`
+	Keys       []string `toml:"keys,omitempty"`
+	KeyDigests []string `toml:"keyDigests,omitempty"`
+	Priority   *int     `toml:"priority,omitempty"`
+	Weight     *float64 `toml:"weight,omitempty"`
 }
 
 // ShareSpec is an entry of a route's split.
