Workspaces: a directory by key and name, in the view

Cause: each request is to be attributed to a workspace by its key. Change: cowslipworkspace.Directory, built once for each configuration and part of the view.

--- a/cowslipconfig/workspace.go
+++ b/cowslipconfig/workspace.go
@@ -28,12 +28,15 @@
 // IsKey reports whether a workspace may have a string as a key: 1 to MaxKeyBytes visible
 // ASCII characters.
 func IsKey(s string) bool {
+	if len(s) == 0 || len(s) > MaxKeyBytes {
+		return false
+	}
 	for i := range len(s) {
 		if s[i] <= ' ' || s[i] > '~' {
 			return false
 		}
 	}
-	return len(s) > 0 && len(s) <= MaxKeyBytes
+	return true
 }
 
 // Workspace is a customer's account, whose callers identify themselves by a key.
--- a/cowslipcontrol/accepted.go
+++ b/cowslipcontrol/accepted.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cowslipflow/cowslipconfig"
+	"cowslipflow/cowslipworkspace"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
@@ -77,6 +78,7 @@
 	c.accepted = a
 	c.digest = xxhash.Sum64String(a.Text)
 	c.config = n
+	c.workspaces = cowslipworkspace.NewDirectory(n)
 	c.o.Event("configInForce", fmt.Sprint(a.Revision), "learned from "+from)
 	c.applyServices()
 	c.applyRoutes()
--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -8,6 +8,7 @@
 	"cowslipflow/cowslipconfig"
 	"cowslipflow/cowslipmessage"
 	"cowslipflow/cowsliproute"
+	"cowslipflow/cowslipworkspace"
 )
 
 // Time limits of the control state.
@@ -84,6 +85,7 @@
 	accepted    Accepted
 	digest      uint64 // of the accepted configuration text
 	config      *cowslipconfig.Config
+	workspaces  *cowslipworkspace.Directory // of config; nil before the first one
 	platform    platformState
 	freshness   *cowsliproute.Freshness
 	confirmedAt time.Time
--- a/cowslipcontrol/publish.go
+++ b/cowslipcontrol/publish.go
@@ -33,6 +33,6 @@
 	clear(c.targetsDirty)
 	c.view = cowsliproute.NewView(cowsliproute.ViewOptions{
 		Revision: c.accepted.Revision, FailureDomain: c.o.FailureDomain, Freshness: c.freshness,
-		Services: v, TargetsByAddr: maps.Clone(c.targetByAddr), CrashVerdicts: c.crashVerdicts, Config: c.config, Routes: c.routeTable(), Relays: c.relays, ConfigDigest: c.digest, RoundRobin: c.o.RoundRobin,
+		Services: v, TargetsByAddr: maps.Clone(c.targetByAddr), CrashVerdicts: c.crashVerdicts, Config: c.config, Routes: c.routeTable(), Relays: c.relays, ConfigDigest: c.digest, Workspaces: c.workspaces, RoundRobin: c.o.RoundRobin,
 	})
 }
--- a/cowsliproute/view.go
+++ b/cowsliproute/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cowslipflow/cowslipconfig"
+	"cowslipflow/cowslipworkspace"
 )
 
 // View is the routing snapshot that one tick of the control state publishes. It is
@@ -20,6 +21,7 @@
 	routes        *Table
 	relays        []*Relay
 	configDigest  uint64
+	workspaces    *cowslipworkspace.Directory
 
 	roundRobin bool
 }
@@ -36,12 +38,13 @@
 	Routes        *Table // nil if the configuration has no routes
 	Relays        []*Relay
 	ConfigDigest  uint64 // of the operators' configuration in force
-	RoundRobin    bool   // choose replicas regardless of their load, as a baseline for measurements
+	Workspaces    *cowslipworkspace.Directory
+	RoundRobin    bool // choose replicas regardless of their load, as a baseline for measurements
 }
 
 // NewView returns a view. It keeps the maps, which the caller must not change any more.
 func NewView(o ViewOptions) *View {
-	return &View{revision: o.Revision, domain: o.FailureDomain, freshness: o.Freshness, services: o.Services, byAddr: o.TargetsByAddr, crashVerdicts: o.CrashVerdicts, config: o.Config, routes: o.Routes, relays: o.Relays, configDigest: o.ConfigDigest, roundRobin: o.RoundRobin}
+	return &View{revision: o.Revision, domain: o.FailureDomain, freshness: o.Freshness, services: o.Services, byAddr: o.TargetsByAddr, crashVerdicts: o.CrashVerdicts, config: o.Config, routes: o.Routes, relays: o.Relays, configDigest: o.ConfigDigest, workspaces: o.Workspaces, roundRobin: o.RoundRobin}
 }
 
 // Revision returns the revision of the configuration in force.
@@ -51,6 +54,9 @@
 // the same digest route requests by the same rules.
 func (v *View) ConfigDigest() uint64 { return v.configDigest }
 
+// Workspaces returns the workspaces of the operators' configuration in force.
+func (v *View) Workspaces() *cowslipworkspace.Directory { return v.workspaces }
+
 // FailureDomain returns the failure domain of this process.
 func (v *View) FailureDomain() string { return v.domain }
 
--- /dev/null
+++ b/cowslipworkspace/doc.go
@@ -0,0 +1,2 @@
+// Package cowslipworkspace finds the workspace of a caller by its key.
+package cowslipworkspace
