Configuration: lines of problems within inline tables

Cause: a problem of a workspace or any other entry that is written as an inline table was reported at line 0. Change: such a problem has the line of what contains it. Result: tests of cowslipconfig and cowslipworkspace and those of workspaces in cowslipentry pass with -race; the new test was red before with line 0.

--- a/cowslipconfig/check.go
+++ b/cowslipconfig/check.go
@@ -40,11 +40,14 @@
 	if k.lines == nil {
 		k.lines = indexLines(k.source)
 	}
+	// A missing key, and a key within an inline table, has the line of what contains it.
 	l, ok := k.lines[path]
-	if !ok {
-		if i := strings.LastIndex(path, "."); i > 0 {
-			l = k.lines[path[:i]]
+	for p := path; !ok; l, ok = k.lines[p] {
+		i := strings.LastIndexAny(p, ".[")
+		if i < 0 {
+			break
 		}
+		p = p[:i]
 	}
 	k.problems = append(k.problems, Problem{Line: l, Field: path, Message: message, Hint: hint})
 }
--- a/cowslipconfig/workspace_test.go
+++ b/cowslipconfig/workspace_test.go
@@ -84,3 +84,9 @@
 		})
 	}
 }
+
+// Guards against a problem without a line where workspaces are written as inline tables.
+func TestLineOfAnInlineWorkspace(t *testing.T) {
+	_, err := cowslipconfig.Parse([]byte("failureDomains = [{name = \"cerro\"}]\nworkspaces = [{name = \"acme\", keys = [\"\"]}]\n"))
+	require.ErrorContains(t, err, "line 2: workspaces[0].keys: entry 1 is not a key")
+}
