Learned speed: what each target takes, pooled over instances

Targets of one service differ in speed and share machines with others; an instance has few samples of each, and forgot them at a restart. An estimator learns each target's latency while it has a free slot, without what neighbors on its machine take, and the number in flight from which it slows; instances pool what they learned with the store's readers. The choice of replicas weighs both beside its own samples.

--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -120,6 +120,7 @@
 	background      sync.WaitGroup // tasks that may outlive the request that started them
 	activeTasks     sync.Map       // running tasks that must not run twice at once; the key is the target for a probe, otherwise the name
 	metrics         *Metrics
+	learner         learner
 	reportLogs      rate.Sometimes // limits the log lines about malformed load reports
 	ctx             context.Context
 	cancel          context.CancelFunc
@@ -216,7 +217,7 @@
 			}
 		})
 	}
-	s := &cowslippeer.Server{OnExchange: e.onExchange, OnEvents: e.onEvents, OnFollow: e.onFollow, OnRelay: e.onRelay}
+	s := &cowslippeer.Server{OnExchange: e.onExchange, OnEvents: e.onEvents, OnFollow: e.onFollow, OnRelay: e.onRelay, OnLearn: e.onLearn}
 	peers := boundedListener{e.opts.Peers, maxPeerRequestBytes, cowsliptarget.NewBuffers(e.opts.Memory / peerMemoryDivisor)}
 	start(func() error { return s.Serve(e.ctx, peers) })
 	start(callers.Serve)
@@ -253,7 +254,7 @@
 // its keys.
 func (e *Entry) platformLoops() []func() {
 	if e.opts.Edge != nil {
-		return []func(){e.storeLoop, e.followOwnReader, e.followOtherSources, e.peerProbeLoop, e.moveLoop, func() { e.crashLoop(e.crashes) }, func() { e.crashLoop(e.doubtfulCrashes) }, e.leaseLoop, e.sweepLoop}
+		return []func(){e.storeLoop, e.followOwnReader, e.followOtherSources, e.peerProbeLoop, e.moveLoop, func() { e.crashLoop(e.crashes) }, func() { e.crashLoop(e.doubtfulCrashes) }, e.leaseLoop, e.sweepLoop, e.learnLoop}
 	}
 	return []func(){e.watchLoop, e.listLoop, e.leaseLoop, func() { e.exchangeLoop(e.peerAddrs) }, e.probeLoop}
 }
--- a/cowslipentry/forwardlearn.go
+++ b/cowslipentry/forwardlearn.go
@@ -9,10 +9,6 @@
 	"cowslipflow/cowsliptarget"
 )
 
-// nominalLatency is the normalized latency of an answer that takes as long as the
-// median of its route.
-const nominalLatency = 10 * time.Millisecond
-
 // observeAttempt updates the target's state and statistics with the result of an
 // attempt and releases its slot.
 func (f *forward) observeAttempt(ctx context.Context, t *cowsliproute.Target, x forwardResult, d time.Duration) {
@@ -41,11 +37,12 @@
 	switch x.outcome {
 	case cowsliptarget.OK:
 		t.ObserveLatency(f.normalizeLatency(d))
+		f.learnCapacity(t, x, d, now)
 	case cowsliptarget.Cancelled:
 		t.ObserveMinLatency(f.normalizeLatency(d))
 	default:
 		if !s.GivenUp {
-			t.ObserveFailure(nominalLatency)
+			t.ObserveFailure(cowsliproute.NominalLatency)
 		}
 	}
 	t.Release()
@@ -53,12 +50,12 @@
 }
 
 // normalizeLatency scales a latency so that the median of its route becomes
-// nominalLatency. Targets can then be compared although they receive requests of
+// cowsliproute.NominalLatency. Targets can then be compared although they receive requests of
 // different routes.
 func (f *forward) normalizeLatency(d time.Duration) time.Duration {
 	typical := f.route.MedianLatency()
 	if typical <= 0 {
-		return nominalLatency
+		return cowsliproute.NominalLatency
 	}
-	return time.Duration(float64(d) / float64(typical) * float64(nominalLatency))
+	return time.Duration(float64(d) / float64(typical) * float64(cowsliproute.NominalLatency))
 }
--- a/cowsliproute/target.go
+++ b/cowsliproute/target.go
@@ -19,6 +19,9 @@
 	stallFactor = 4
 	// stallPenalty is added to the load of a stalled target, in requests.
 	stallPenalty = 4
+	// overLimitPenalty is added to the load of a target for each request above the number up
+	// to which it does not slow down.
+	overLimitPenalty = 1
 	// connectPenalty is added to the load of a target, in requests, if this process keeps
 	// no idle connections to it, so that a request needs a new one.
 	connectPenalty = 1
@@ -27,6 +30,10 @@
 	remoteCostFactor = 2
 )
 
+// NominalLatency is the normalized latency of an answer that takes as long as the median of
+// its route.
+const NominalLatency = 10 * time.Millisecond
+
 // TargetInfo holds the properties of a target that never change.
 type TargetInfo struct {
 	ID            string
@@ -45,6 +52,7 @@
 	inFlight     atomic.Int64
 	load         atomic.Int64
 	latency      atomic.Int64
+	estimate     atomic.Pointer[estimate] // nil if none is known
 	leaving      atomic.Bool
 	suspensions  atomic.Int64 // number of suspensions so far
 	suspension   atomic.Int64 // number of the suspension in effect, 0 if there is none
@@ -55,6 +63,12 @@
 	lastProgress atomic.Int64                 // when a request last ended, or was sent while none was in flight; in monotonic nanoseconds
 }
 
+// estimate is what was learned about a target from the answers to all instances.
+type estimate struct {
+	speed float64
+	limit int64
+}
+
 // NewTarget returns a target that gets no requests until SetLimit is called.
 func NewTarget(i TargetInfo) *Target { return &Target{info: i} }
 
@@ -190,8 +204,42 @@
 // failureLatencyFactor times usual, the latency of a good answer.
 func (t *Target) ObserveFailure(usual time.Duration) { t.ObserveLatency(failureLatencyFactor * usual) }
 
-// ResetLatency discards all latency samples.
-func (t *Target) ResetLatency() { t.latency.Store(0) }
+// ResetLatency discards all latency samples and the estimate.
+func (t *Target) ResetLatency() {
+	t.latency.Store(0)
+	t.estimate.Store(nil)
+}
+
+// SetEstimate sets what was learned about the target: its speed relative to the other targets
+// of its service, 1 being average, and the number of requests in flight up to which it does not
+// slow down, 0 if that is unknown.
+func (t *Target) SetEstimate(speed float64, limit int) {
+	t.estimate.Store(&estimate{speed: speed, limit: int64(limit)})
+}
+
+// Estimate returns what SetEstimate set last, or 0, 0.
+func (t *Target) Estimate() (speed float64, limit int) {
+	if e := t.estimate.Load(); e != nil {
+		return e.speed, int(e.limit)
+	}
+	return 0, 0
+}
+
+// expectedLatency returns the latency by which the target is compared with others, 0 if it is
+// unknown. The samples of this process follow changes fast and the estimate rests on more of
+// them, so that both count.
+func (t *Target) expectedLatency() int64 {
+	l := t.latency.Load()
+	e := t.estimate.Load()
+	if e == nil {
+		return l
+	}
+	learned := int64(float64(NominalLatency) / e.speed)
+	if l == 0 {
+		return learned
+	}
+	return (l + learned) / 2
+}
 
 // Latency returns the moving average of the latency, or 0 before the first sample.
 func (t *Target) Latency() time.Duration { return time.Duration(t.latency.Load()) }
@@ -277,7 +325,7 @@
 // weighted by latency once both have samples, and prefers a target in the given failure
 // domain, if any, among targets that are about as good.
 func (t *Target) betterThan(o *Target, now time.Time, domain string) bool {
-	a, b := t.latency.Load(), o.latency.Load()
+	a, b := t.expectedLatency(), o.expectedLatency()
 	if a == 0 || b == 0 {
 		a, b = 1, 1
 	}
@@ -287,6 +335,9 @@
 // score returns the cost of sending a request to the target; lower is better.
 func (t *Target) score(latency int64, now time.Time, domain string) int64 {
 	c := t.effectiveLoad() + 1
+	if e := t.estimate.Load(); e != nil && e.limit > 0 {
+		c += overLimitPenalty * max(c-e.limit, 0)
+	}
 	if t.maxIdleConns.Load() == 0 {
 		c += connectPenalty
 	}
