--- a/cowslipcapacity/table.go
+++ b/cowslipcapacity/table.go
@@ -41,6 +41,8 @@
 	Key
 	Speed float64 // relative to the other targets of its service, 1 is average
 	Limit int     // 0 if unknown
+	// OwnWeight is the weight of the samples that this instance has itself.
+	OwnWeight float64
 }
 
 // Source is an instance that tells what it has learned.
@@ -152,7 +154,7 @@
 		}
 		usual := math.Exp(sum / float64(len(m)))
 		for _, k := range m {
-			p := Published{Key: k.Key, Speed: min(max(usual/k.Latency, minSpeed), maxSpeed), Limit: int(k.Limit)}
+			p := Published{Key: k.Key, Speed: min(max(usual/k.Latency, minSpeed), maxSpeed), Limit: int(k.Limit), OwnWeight: k.row.own.Weight(now)}
 			if r := p.Speed / k.row.published.Speed; r < speedStep && r > 1/speedStep {
 				p.Speed = k.row.published.Speed
 			}
--- a/cowslipentry/forwardlearn.go
+++ b/cowslipentry/forwardlearn.go
@@ -29,7 +29,7 @@
 		})
 	}
 	if r.Slots > 0 {
-		t.SetLoad(r.Running + r.Queued)
+		t.SetLoad(otherLoad(r))
 	}
 	s := cowslipcontrol.Sample{Target: t, Route: f.route.Config().Name(), Outcome: x.outcome, Report: r, Latency: d, At: now}
 	s.GivenUp = x.outcome == cowsliptarget.NotSent && ctx.Err() != nil
@@ -49,6 +49,10 @@
 	f.enqueueSample(s)
 }
 
+// otherLoad returns the load in a target's report without the request that the report
+// answers, which counts as running.
+func otherLoad(r cowsliptarget.Report) int { return max(r.Running-1, 0) + r.Queued }
+
 // normalizeLatency scales a latency so that the median of its route becomes
 // cowsliproute.NominalLatency. Targets can then be compared although they receive requests of
 // different routes.
--- a/cowslipentry/learn.go
+++ b/cowslipentry/learn.go
@@ -50,7 +50,7 @@
 	}
 	f.learner.targets[k] = t
 	f.learner.mu.Unlock()
-	f.learner.table.Observe(t.Info().Service, k, cowslipcapacity.Sample{At: now, Latency: float64(d) / float64(typical), Load: r.Running + r.Queued, Slots: r.Slots, Slowdown: r.Slowdown})
+	f.learner.table.Observe(t.Info().Service, k, cowslipcapacity.Sample{At: now, Latency: float64(d) / float64(typical), Load: otherLoad(r), Slots: r.Slots, Slowdown: r.Slowdown})
 }
 
 // apply sets the estimates of all targets, and forgets targets that have none any more.
@@ -60,7 +60,7 @@
 	defer l.mu.Unlock()
 	for _, x := range p {
 		if t := l.targets[x.Key]; t != nil && t.Incarnation() == x.Incarnation {
-			t.SetEstimate(x.Speed, x.Limit)
+			t.SetEstimate(x.Speed, x.Limit, x.OwnWeight)
 		}
 	}
 	maps.DeleteFunc(l.targets, func(k cowslipcapacity.Key, _ *cowsliproute.Target) bool { return !l.table.Knows(k) })
--- a/cowsliproute/target.go
+++ b/cowsliproute/target.go
@@ -22,6 +22,8 @@
 	// overLimitPenalty is added to the load of a target for each request above the number up
 	// to which it does not slow down.
 	overLimitPenalty = 1
+	// estimateWeight is what an estimate counts beside the own samples, in samples.
+	estimateWeight = 2
 	// connectPenalty is added to the load of a target, in requests, if this process keeps
 	// no idle connections to it, so that a request needs a new one.
 	connectPenalty = 1
@@ -65,8 +67,9 @@
 
 // estimate is what was learned about a target from the answers to all instances.
 type estimate struct {
-	speed float64
-	limit int64
+	speed     float64
+	limit     int64
+	ownWeight float64
 }
 
 // NewTarget returns a target that gets no requests until SetLimit is called.
@@ -212,9 +215,10 @@
 
 // SetEstimate sets what was learned about the target: its speed relative to the other targets
 // of its service, 1 being average, and the number of requests in flight up to which it does not
-// slow down, 0 if that is unknown.
-func (t *Target) SetEstimate(speed float64, limit int) {
-	t.estimate.Store(&estimate{speed: speed, limit: int64(limit)})
+// slow down, 0 if that is unknown. OwnWeight is the number of recent samples that this process
+// has of the target itself.
+func (t *Target) SetEstimate(speed float64, limit int, ownWeight float64) {
+	t.estimate.Store(&estimate{speed: speed, limit: int64(limit), ownWeight: ownWeight})
 }
 
 // Estimate returns what SetEstimate set last, or 0, 0.
@@ -226,8 +230,8 @@
 }
 
 // expectedLatency returns the latency by which the target is compared with others, 0 if it is
-// unknown. The samples of this process follow changes fast and the estimate rests on more of
-// them, so that both count.
+// unknown. The samples of this process follow changes fastest; the fewer it has, the more the
+// estimate counts, which rests on those of all instances.
 func (t *Target) expectedLatency() int64 {
 	l := t.latency.Load()
 	e := t.estimate.Load()
@@ -238,7 +242,8 @@
 	if l == 0 {
 		return learned
 	}
-	return (l + learned) / 2
+	w := e.ownWeight / (e.ownWeight + estimateWeight)
+	return int64(w*float64(l) + (1-w)*float64(learned))
 }
 
 // Latency returns the moving average of the latency, or 0 before the first sample.
