--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -77,6 +77,10 @@
 	Wire       Wire
 	Bounds     Bounds
 
+	// ScarceTargets says that callers compete for targets with too little capacity for all of
+	// them. What targets take is then learned whether or not they state a slowdown.
+	ScarceTargets bool
+
 	// Dial opens connections to targets and to other entry instances. If nil, the
 	// default dialer of package net is used.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
--- a/cowslipentry/learn.go
+++ b/cowslipentry/learn.go
@@ -28,8 +28,8 @@
 )
 
 // learner learns what targets take from the answers that this instance gets and from what
-// other instances tell. It learns about targets that state a slowdown in their load reports. The
-// zero value is ready to use; it is safe for concurrent use.
+// other instances tell. It learns about targets that state a slowdown in their load reports, and
+// about all that report their load with Options.ScarceTargets. The zero value is ready to use; it is safe for concurrent use.
 type learner struct {
 	table   cowslipcapacity.Table
 	mu      sync.Mutex
@@ -40,7 +40,7 @@
 func (f *forward) learnCapacity(t *cowsliproute.Target, x forwardResult, d time.Duration, now time.Time) {
 	r := x.info.Report
 	typical := f.route.MedianLatency()
-	if r.Slowdown <= 0 || typical <= 0 {
+	if r.Slots == 0 || typical <= 0 || r.Slowdown == 0 && !f.opts.ScarceTargets {
 		return
 	}
 	k := cowslipcapacity.Key{ID: t.Info().ID, Incarnation: x.incarnation}
