--- a/cowsliproute/target.go
+++ b/cowsliproute/target.go
@@ -19,6 +19,11 @@
 	stallFactor = 4
 	// stallPenalty is added to the load of a stalled target, in requests.
 	stallPenalty = 4
+	// overLimitPenalty is added to the load of a target for each request above the number up
+	// to which it does not slow down.
+	overLimitPenalty = 1
+	// estimateWeight is what an estimate counts beside the own samples, in samples.
+	estimateWeight = 2
 	// connectPenalty is added to the load of a target, in requests, if this process keeps
 	// no idle connections to it, so that a request needs a new one.
 	connectPenalty = 1
@@ -27,6 +32,10 @@
 	remoteCostFactor = 2
 )
 
+// NominalLatency is the normalized latency of an answer that takes as long as the median of
+// its route.
+const NominalLatency = 10 * time.Millisecond
+
 // TargetInfo holds the properties of a target that never change.
 type TargetInfo struct {
 	ID            string
@@ -45,6 +54,7 @@
 	inFlight     atomic.Int64
 	load         atomic.Int64
 	latency      atomic.Int64
+	estimate     atomic.Pointer[estimate] // nil if none is known
 	leaving      atomic.Bool
 	suspensions  atomic.Int64 // number of suspensions so far
 	suspension   atomic.Int64 // number of the suspension in effect, 0 if there is none
@@ -55,6 +65,13 @@
 	lastProgress atomic.Int64                 // when a request last ended, or was sent while none was in flight; in monotonic nanoseconds
 }
 
+// estimate is what was learned about a target from the answers to all instances.
+type estimate struct {
+	speed     float64
+	limit     int64
+	ownWeight float64
+}
+
 // NewTarget returns a target that gets no requests until SetLimit is called.
 func NewTarget(i TargetInfo) *Target { return &Target{info: i} }
 
@@ -190,8 +207,44 @@
 // failureLatencyFactor times usual, the latency of a good answer.
 func (t *Target) ObserveFailure(usual time.Duration) { t.ObserveLatency(failureLatencyFactor * usual) }
 
-// ResetLatency discards all latency samples.
-func (t *Target) ResetLatency() { t.latency.Store(0) }
+// ResetLatency discards all latency samples and the estimate.
+func (t *Target) ResetLatency() {
+	t.latency.Store(0)
+	t.estimate.Store(nil)
+}
+
+// SetEstimate sets what was learned about the target: its speed relative to the other targets
+// of its service, 1 being average, and the number of requests in flight up to which it does not
+// slow down, 0 if that is unknown. OwnWeight is the number of recent samples that this process
+// has of the target itself.
+func (t *Target) SetEstimate(speed float64, limit int, ownWeight float64) {
+	t.estimate.Store(&estimate{speed: speed, limit: int64(limit), ownWeight: ownWeight})
+}
+
+// Estimate returns what SetEstimate set last, or 0, 0.
+func (t *Target) Estimate() (speed float64, limit int) {
+	if e := t.estimate.Load(); e != nil {
+		return e.speed, int(e.limit)
+	}
+	return 0, 0
+}
+
+// expectedLatency returns the latency by which the target is compared with others, 0 if it is
+// unknown. The samples of this process follow changes fastest; the fewer it has, the more the
+// estimate counts, which rests on those of all instances.
+func (t *Target) expectedLatency() int64 {
+	l := t.latency.Load()
+	e := t.estimate.Load()
+	if e == nil {
+		return l
+	}
+	learned := int64(float64(NominalLatency) / e.speed)
+	if l == 0 {
+		return learned
+	}
+	w := e.ownWeight / (e.ownWeight + estimateWeight)
+	return int64(w*float64(l) + (1-w)*float64(learned))
+}
 
 // Latency returns the moving average of the latency, or 0 before the first sample.
 func (t *Target) Latency() time.Duration { return time.Duration(t.latency.Load()) }
@@ -277,7 +330,7 @@
 // weighted by latency once both have samples, and prefers a target in the given failure
 // domain, if any, among targets that are about as good.
 func (t *Target) betterThan(o *Target, now time.Time, domain string) bool {
-	a, b := t.latency.Load(), o.latency.Load()
+	a, b := t.expectedLatency(), o.expectedLatency()
 	if a == 0 || b == 0 {
 		a, b = 1, 1
 	}
@@ -287,6 +340,9 @@
 // score returns the cost of sending a request to the target; lower is better.
 func (t *Target) score(latency int64, now time.Time, domain string) int64 {
 	c := t.effectiveLoad() + 1
+	if e := t.estimate.Load(); e != nil && e.limit > 0 {
+		c += overLimitPenalty * max(c-e.limit, 0)
+	}
 	if t.maxIdleConns.Load() == 0 {
 		c += connectPenalty
 	}
