Guard: decide how wide requests are sent while some crash targets

A wide request that crashes its targets is sent to all shards at once, at each instance it comes through. The new package decides, from losses, whether an unknown request is first sent to one of a few shards, the same ones at all instances, and when a lost one may come again. Nothing uses it yet.

--- /dev/null
+++ b/cowslipguard/guard.go
@@ -0,0 +1,141 @@
+// Package cowslipguard decides how wide requests are sent while some of them crash targets.
+// It opens no socket, starts no goroutine and reads no clock.
+package cowslipguard
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// AlertTime is how long a guard stays alert after the last loss.
+	AlertTime = time.Minute
+	// MaxContents bounds the contents that a guard knows as answered, and those it knows as lost.
+	MaxContents = 4096
+	// ResendWait is how long a content is refused after a target broke it off. Callers send a
+	// request that failed again within tenths of a second, which would cost a second target.
+	ResendWait = time.Second
+	// coverageTolerance absorbs rounding errors in the required number of shards.
+	coverageTolerance = 1e-9
+)
+
+// Guard decides for the wide requests to one set of shards. The zero value is calm. It is safe
+// for concurrent use.
+type Guard struct {
+	mu       sync.Mutex
+	since    time.Time // when the alert began
+	until    time.Time // when the alert ends
+	answered contents  // answered in full since the alert began
+	lost     contents  // broken off since the alert began
+}
+
+// Loss is a target that crashed under a wide request.
+type Loss struct {
+	Age time.Duration // time since the target broke off the request
+	// Content identifies the request. It is 0 if a target has answered the request lately, so that
+	// it probably only shared the target with one that crashes targets.
+	Content uint64
+}
+
+// Plan is how a wide request is sent.
+type Plan struct {
+	Alert  bool          // targets have crashed lately
+	Probes []int         // shards of which one is asked first, in order of preference; none if all are asked at once
+	Wait   time.Duration // refuse the request, which may come again after this time; 0 to send it
+}
+
+// Loss records a loss. It reports whether the guard was calm.
+func (g *Guard) Loss(now time.Time, l Loss) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at := now.Add(-max(l.Age, 0))
+	if now.Sub(at) >= AlertTime {
+		return false
+	}
+	began := !g.alert(now)
+	if began {
+		g.since, g.until, g.answered, g.lost = at, time.Time{}, contents{}, contents{}
+	}
+	if u := at.Add(AlertTime); u.After(g.until) {
+		g.until = u
+	}
+	if l.Content != 0 {
+		g.answered.remove(l.Content)
+		g.lost.add(l.Content, at)
+	}
+	return began
+}
+
+// Answered records that all shards have answered a request that was sent at the given time.
+func (g *Guard) Answered(sent time.Time, content uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.alert(sent) && !sent.Before(g.since) && !sent.Before(g.lost.last(content)) {
+		g.answered.add(content, sent)
+	}
+}
+
+// Alert reports whether targets have crashed lately.
+func (g *Guard) Alert(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.alert(now)
+}
+
+// Plan returns how a request with the given content is sent to the named shards. The share
+// minCoverage of them must answer.
+func (g *Guard) Plan(now time.Time, content uint64, shards []string, minCoverage float64) Plan {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.alert(now) {
+		return Plan{}
+	}
+	p := Plan{Alert: true}
+	if g.answered.has(content) {
+		return p
+	}
+	p.Probes = ProbeShards(content, shards, minCoverage)
+	if t := g.lost.last(content); !t.IsZero() {
+		p.Wait = max(t.Add(ResendWait).Sub(now), 0)
+	}
+	return p
+}
+
+func (g *Guard) alert(now time.Time) bool { return now.Before(g.until) }
+
+// merge adds what another guard knows.
+func (g *Guard) merge(o *Guard) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if o.until.After(g.until) {
+		g.since, g.until, g.answered, g.lost = o.since, o.until, o.answered, o.lost
+	}
+}
+
+// ProbeShards returns the indices of the shards that are asked first for requests that may crash
+// targets: as many as answers may miss, but at least one. All instances choose the same ones, as
+// their names alone decide, and so few targets crash. The first one depends on the content.
+func ProbeShards(content uint64, shards []string, minCoverage float64) []int {
+	if len(shards) == 0 {
+		return nil
+	}
+	l := make([]int, len(shards))
+	ranks := make([]uint64, len(shards))
+	for i, s := range shards {
+		l[i], ranks[i] = i, xxhash.Sum64String(s)
+	}
+	slices.SortFunc(l, func(a, b int) int {
+		return cmp.Or(cmp.Compare(ranks[b], ranks[a]), cmp.Compare(shards[a], shards[b]))
+	})
+	needed := int(math.Ceil(minCoverage*float64(len(shards)) - coverageTolerance))
+	n := min(max(len(shards)-needed, 1), len(shards))
+	first := int(content % uint64(n))
+	return slices.Concat(l[first:n], l[:first])
+}
