Dispatch: probe one of several parts, and end a request that crashes targets

A lost part was sent again as soon as any other part was answered, and the parts of a request that had just crashed targets went on. ProbeFirst, which knew one part only, becomes Probes: parts of which one is asked first, with one hedge to another of them. News that targets crashed end a request that nobody has answered, at the second crash, or the first one in an alert, and cancel what is in flight. While a loss is unexplained, parts are sent one at a time. The guard tells requests apart by all but their caller instead of by path and body, since queries that differ only in the query string would otherwise speak for each other.

--- a/cowslipentry/forward.go
+++ b/cowslipentry/forward.go
@@ -178,7 +178,9 @@
 		}
 		return o
 	}
-	o.ProbeFirst, o.HoldLost = f.suspicion.Whole, true
+	if o.HoldLost = true; f.suspicion.Whole {
+		o.Probes = []int{0}
+	}
 	f.services = c.Gather()
 	f.partialAt = f.start.Add(c.LatencyTarget() - f.replyMargin())
 	if f.suspicion.Trial {
--- a/cowslipguard/guard.go
+++ b/cowslipguard/guard.go
@@ -17,7 +17,7 @@
 	AlertTime = time.Minute
 	// MaxContents bounds the contents that a guard knows as answered, and those it knows as lost.
 	MaxContents = 4096
-	// ResendWait is how long a content is refused after a target broke it off. Callers send a
+	// ResendWait is how long a request is refused after a target broke it off. Callers send a
 	// request that failed again within tenths of a second, which would cost a second target.
 	ResendWait = time.Second
 	// coverageTolerance absorbs rounding errors in the required number of shards.
@@ -37,9 +37,9 @@
 // Loss is a target that crashed under a wide request.
 type Loss struct {
 	Age time.Duration // time since the target broke off the request
-	// Content identifies the request. It is 0 if a target has answered the request lately, so that
+	// Request identifies the request by all but its caller. It is 0 if a target has answered the request lately, so that
 	// it probably only shared the target with one that crashes targets.
-	Content uint64
+	Request uint64
 }
 
 // Plan is how a wide request is sent.
@@ -64,19 +64,19 @@
 	if u := at.Add(AlertTime); u.After(g.until) {
 		g.until = u
 	}
-	if l.Content != 0 {
-		g.answered.remove(l.Content)
-		g.lost.add(l.Content, at)
+	if l.Request != 0 {
+		g.answered.remove(l.Request)
+		g.lost.add(l.Request, at)
 	}
 	return began
 }
 
 // Answered records that all shards have answered a request that was sent at the given time.
-func (g *Guard) Answered(sent time.Time, content uint64) {
+func (g *Guard) Answered(sent time.Time, request uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.alert(sent) && !sent.Before(g.since) && !sent.Before(g.lost.last(content)) {
-		g.answered.add(content, sent)
+	if g.alert(sent) && !sent.Before(g.since) && !sent.Before(g.lost.last(request)) {
+		g.answered.add(request, sent)
 	}
 }
 
@@ -87,20 +87,20 @@
 	return g.alert(now)
 }
 
-// Plan returns how a request with the given content is sent to the named shards. The share
+// Plan returns how a request with the given request is sent to the named shards. The share
 // minCoverage of them must answer.
-func (g *Guard) Plan(now time.Time, content uint64, shards []string, minCoverage float64) Plan {
+func (g *Guard) Plan(now time.Time, request uint64, shards []string, minCoverage float64) Plan {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.alert(now) {
 		return Plan{}
 	}
 	p := Plan{Alert: true}
-	if g.answered.has(content) {
+	if g.answered.has(request) {
 		return p
 	}
-	p.Probes = ProbeShards(content, shards, minCoverage)
-	if t := g.lost.last(content); !t.IsZero() {
+	p.Probes = ProbeShards(request, shards, minCoverage)
+	if t := g.lost.last(request); !t.IsZero() {
 		p.Wait = max(t.Add(ResendWait).Sub(now), 0)
 	}
 	return p
@@ -121,8 +121,8 @@
 
 // ProbeShards returns the indices of the shards that are asked first for requests that may crash
 // targets: as many as answers may miss, but at least one. All instances choose the same ones, as
-// their names alone decide, and so few targets crash. The first one depends on the content.
-func ProbeShards(content uint64, shards []string, minCoverage float64) []int {
+// their names alone decide, and so few targets crash. The first one depends on the request.
+func ProbeShards(request uint64, shards []string, minCoverage float64) []int {
 	if len(shards) == 0 {
 		return nil
 	}
@@ -136,6 +136,6 @@
 	})
 	needed := int(math.Ceil(minCoverage*float64(len(shards)) - coverageTolerance))
 	n := min(max(len(shards)-needed, 1), len(shards))
-	first := int(content % uint64(n))
+	first := int(request % uint64(n))
 	return slices.Concat(l[first:n], l[:first])
 }
--- a/cowslipguard/guard_test.go
+++ b/cowslipguard/guard_test.go
@@ -46,7 +46,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			var g cowslipguard.Guard
 			for i, at := range c.losses {
-				g.Loss(t0.Add(at), cowslipguard.Loss{Age: c.ages[i], Content: 1})
+				g.Loss(t0.Add(at), cowslipguard.Loss{Age: c.ages[i], Request: 1})
 			}
 			if c.until > 0 {
 				require.True(t, g.Alert(t0.Add(c.until-time.Nanosecond)))
@@ -71,7 +71,7 @@
 				l := shardNames(c.shards)
 				rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
 				var g cowslipguard.Guard
-				g.Loss(t0.Add(time.Duration(rand.IntN(1000))*time.Millisecond), cowslipguard.Loss{Content: rand.Uint64()})
+				g.Loss(t0.Add(time.Duration(rand.IntN(1000))*time.Millisecond), cowslipguard.Loss{Request: rand.Uint64()})
 				p := g.Plan(t0.Add(time.Second), content, l, c.minCoverage)
 				require.True(t, p.Alert)
 				require.Len(t, p.Probes, c.probes)
@@ -104,28 +104,28 @@
 		{"answered", func(g *cowslipguard.Guard) { g.Answered(at(1), content) }, at(2), 0, 0},
 		{"another one answered", func(g *cowslipguard.Guard) { g.Answered(at(1), content+1) }, at(2), 2, 0},
 		{"sent before the alert", func(g *cowslipguard.Guard) { g.Answered(at(-1), content) }, at(2), 2, 0},
-		{"lost", func(g *cowslipguard.Guard) { g.Loss(at(1), cowslipguard.Loss{Content: content}) }, at(1.25), 2, 750 * time.Millisecond},
-		{"lost a while ago", func(g *cowslipguard.Guard) { g.Loss(at(1), cowslipguard.Loss{Content: content}) }, at(2), 2, 0},
+		{"lost", func(g *cowslipguard.Guard) { g.Loss(at(1), cowslipguard.Loss{Request: content}) }, at(1.25), 2, 750 * time.Millisecond},
+		{"lost a while ago", func(g *cowslipguard.Guard) { g.Loss(at(1), cowslipguard.Loss{Request: content}) }, at(2), 2, 0},
 		{"answered, then lost", func(g *cowslipguard.Guard) {
 			g.Answered(at(1), content)
-			g.Loss(at(2), cowslipguard.Loss{Content: content})
+			g.Loss(at(2), cowslipguard.Loss{Request: content})
 		}, at(3), 2, 0},
 		{"lost, then an answer sent before", func(g *cowslipguard.Guard) {
-			g.Loss(at(2), cowslipguard.Loss{Content: content})
+			g.Loss(at(2), cowslipguard.Loss{Request: content})
 			g.Answered(at(1), content)
 		}, at(3), 2, 0},
 		{"lost, then answered", func(g *cowslipguard.Guard) {
-			g.Loss(at(1), cowslipguard.Loss{Content: content})
+			g.Loss(at(1), cowslipguard.Loss{Request: content})
 			g.Answered(at(2), content)
 		}, at(2.1), 0, 0},
 		{"answered in the alert before", func(g *cowslipguard.Guard) {
 			g.Answered(at(1), content)
-			g.Loss(at(61), cowslipguard.Loss{Content: 1})
+			g.Loss(at(61), cowslipguard.Loss{Request: 1})
 		}, at(62), 2, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var g cowslipguard.Guard
-			g.Loss(t0, cowslipguard.Loss{Content: 1})
+			g.Loss(t0, cowslipguard.Loss{Request: 1})
 			c.course(&g)
 			p := g.Plan(c.now, content, shardNames(20), 0.89)
 			require.Len(t, p.Probes, c.probes)
@@ -171,7 +171,7 @@
 				}
 				lastLoss, lost[content] = now, now
 				delete(answered, content)
-				g.Loss(now, cowslipguard.Loss{Content: content})
+				g.Loss(now, cowslipguard.Loss{Request: content})
 			case 1:
 				sent := now.Add(-time.Duration(rapid.IntRange(0, 2000).Draw(t, "took")) * time.Millisecond)
 				if !since.IsZero() && !sent.Before(since) && !sent.Before(lost[content]) && sent.Sub(lastLoss) < cowslipguard.AlertTime {
@@ -192,7 +192,7 @@
 // Guards against routes that share targets but not what is known of crashes.
 func TestSetsThatShareServicesHaveOneGuard(t *testing.T) {
 	var g cowslipguard.Guards
-	g.Of("a", "b").Loss(t0, cowslipguard.Loss{Content: 1})
+	g.Of("a", "b").Loss(t0, cowslipguard.Loss{Request: 1})
 	require.False(t, g.Of("c", "d").Alert(t0))
 	require.Same(t, g.Of("b"), g.Of("a"))
 	require.True(t, g.Of("b", "c").Alert(t0))
--- a/cowslipquery/dispatch.go
+++ b/cowslipquery/dispatch.go
@@ -30,6 +30,7 @@
 	hedgeRetryAt time.Time // earliest time to retry a hedge that found no budget or no free slot
 
 	waiting      bool // to be sent as soon as a replica has capacity
+	brokenOff    bool // a target broke the part off
 	held         bool // to be sent again, as HoldLost says, once a target has answered any part
 	done         bool
 	missing      bool
@@ -61,6 +62,10 @@
 	mayHaveRun    int // ended attempts that ran or may have run
 	ownDomainOnly bool
 	crashed       bool
+	crashes       int  // attempts whose target crashed, as TargetCrashed tells
+	brokenOff     bool // a target broke off the request
+	probeHedged   bool // a second probe was sent
+	probeLost     bool // a probe may have crashed its target
 	closed        bool
 	answered      bool
 	actions       []DispatchAction
@@ -137,6 +142,9 @@
 // NextTick returns the time at which to call Tick next.
 func (d *Dispatch) NextTick(now time.Time) time.Time {
 	n := d.options.CloseAt
+	if t, ok := d.probeHedgeDue(); ok {
+		n = earlier(n, t)
+	}
 	if e := d.options.PartialAt; !e.IsZero() && e.After(now) {
 		n = earlier(n, e)
 	}
@@ -145,7 +153,7 @@
 		if p.settled() {
 			continue
 		}
-		if p.waiting {
+		if p.waiting && d.sendable(i) {
 			n = earlier(n, later(now.Add(capacityRetryInterval), p.shedRetryAt))
 		}
 		// If a hedge became due while an answer was handled, its time is in the past,
@@ -198,12 +206,13 @@
 
 // advance sends the waiting parts. It closes the answer once all parts are done or
 // missing, once MinParts are done after PartialAt, once too many are missing to reach
-// MinParts, or once the request that ProbeFirst sends first has failed for good.
+// MinParts, or once the probes have failed for good.
 func (d *Dispatch) advance(now time.Time) {
+	d.sendProbe(now)
 	open, done := 0, 0
 	for i := range d.parts {
 		p := &d.parts[i]
-		if p.waiting && !p.settled() && !now.Before(p.shedRetryAt) && !(d.options.ProbeFirst && !d.answered && i > 0) {
+		if !d.probing() && p.waiting && !p.settled() && !now.Before(p.shedRetryAt) && d.sendable(i) {
 			d.send(now, i, false)
 		}
 		if !p.settled() {
@@ -213,8 +222,9 @@
 			done++
 		}
 	}
-	if d.options.ProbeFirst && !d.answered && len(d.parts) > 0 && d.parts[0].missing {
-		open = 0
+	if d.probesFailed() {
+		d.stop()
+		return
 	}
 	enough := !d.options.PartialAt.IsZero() && !now.Before(d.options.PartialAt) && done >= d.options.MinParts
 	if open == 0 || enough || done+open < d.options.MinParts {
@@ -263,36 +273,6 @@
 	d.actions = append(d.actions, DispatchAction{Attempt: len(d.attempts) - 1, Part: n, Target: t, Hedge: hedge, Timeout: d.options.CloseAt.Sub(now)})
 }
 
-func (d *Dispatch) pick(n int, ownDomain, idle bool, now time.Time) *cowsliproute.Target {
-	for _, v := range d.options.Parts[n].Versions.Sets() {
-		o := cowsliproute.PickOptions{Version: v, OwnDomainOnly: ownDomain, IdleOnly: idle, Exclude: d.parts[n].tried, Now: now, PreferOwnDomain: d.options.PreferOwnDomain}
-		if t := d.options.View.Pick(d.options.Parts[n].Replicas, o, d.options.Rand); t != nil {
-			return t
-		}
-	}
-	return nil
-}
-
-// mayTryAnother reports whether part n is within its attempt limits and has a
-// replica that was not tried yet, even if that replica has no capacity now.
-func (d *Dispatch) mayTryAnother(n int, ownDomain bool) bool {
-	p := &d.parts[n]
-	if p.attempts >= d.maxAttempts(n) || p.sends >= d.maxSends() {
-		return false
-	}
-	return slices.ContainsFunc(d.options.Parts[n].Versions.Sets(), func(v cowsliproute.VersionSet) bool { return d.hasUntriedReplica(n, v, ownDomain) })
-}
-
-func (d *Dispatch) hasUntriedReplica(n int, version cowsliproute.VersionSet, ownDomain bool) bool {
-	return slices.ContainsFunc(d.options.Parts[n].Replicas, func(t *cowsliproute.Target) bool {
-		i := t.Info()
-		if !version.Allows(i.Version) || ownDomain && i.FailureDomain != d.options.View.FailureDomain() || t.Leaving() {
-			return false
-		}
-		return !slices.Contains(d.parts[n].tried, t)
-	})
-}
-
 // handleEnd decides whether the part of an ended attempt is done, missing or sent
 // again. The part must be neither done nor missing.
 func (d *Dispatch) handleEnd(now time.Time, n int, o cowsliptarget.Outcome) {
@@ -312,6 +292,7 @@
 	if o.NotRun() {
 		p.attempts--
 	}
+	p.brokenOff, d.brokenOff = p.brokenOff || brokenOff(o), d.brokenOff || brokenOff(o)
 	if o == cowsliptarget.Shed {
 		p.shedBy = append(p.shedBy, a.target)
 	}
@@ -319,11 +300,15 @@
 		return
 	}
 	p.wrongVersion = p.wrongVersion || o == cowsliptarget.WrongVersion
-	if !o.NotRun() && (d.crashed || d.options.AtMostOnce || d.probeMayHaveCrashed(o)) {
+	if d.probing() && !o.NotRun() && o != cowsliptarget.Failed {
+		// Another target is spared, as the request may have crashed this one.
+		d.probeLost = true
+	}
+	if !o.NotRun() && (d.crashed || d.options.AtMostOnce || d.probeLost) || d.options.Alert && p.brokenOff {
 		p.missing = true
 		return
 	}
-	if d.options.HoldLost && o == cowsliptarget.Lost && !d.answered {
+	if d.options.HoldLost && brokenOff(o) && !d.answered {
 		p.held = true
 		return
 	}
--- a/cowslipquery/dispatch_test.go
+++ b/cowslipquery/dispatch_test.go
@@ -202,7 +202,7 @@
 // A request that has crashed a target before is sent to a single target first. If that one
 // refuses it or fails without a crash, another one is asked at once; if it may have
 // crashed, the answer closes at once and spares the others.
-func TestProbeFirst(t *testing.T) {
+func TestProbes(t *testing.T) {
 	for _, c := range []struct {
 		first cowsliptarget.Outcome
 		sent  int
@@ -229,7 +229,7 @@
 					return targetReply{after: ms}
 				}
 				return targetReply{after: 5 * ms}
-			}, func(o *cowslipquery.DispatchOptions) { o.ProbeFirst = true })
+			}, func(o *cowslipquery.DispatchOptions) { o.Probes = []int{0} })
 			x.run()
 			require.Len(t, x.sent, c.sent)
 			require.Equal(t, c.took, x.now.Sub(t0))
--- a/cowslipquery/dispatchoptions.go
+++ b/cowslipquery/dispatchoptions.go
@@ -47,12 +47,14 @@
 	MaxAttempts     int           // limit of the attempts at a part, except those known not to have run; 0 means defaultMaxAttempts
 	AtMostOnce      bool          // the request may run at most once: no hedges, and no retry after an attempt that may have run
 	PreferOwnDomain bool          // prefer targets of this instance's failure domain if they are about as good as others
-	ProbeFirst      bool          // send one request at a time, for the first part, until it is answered; only then the others. It is sent again only if it crashed no target for certain
+	Probes          []int         // send one request at a time, for these parts in order of preference, until one is answered; only then the others. It is sent again only if it crashed no target for certain
+	HedgeProbe      bool          // while no probe is answered, send one for another of Probes after HedgeAfter, once
+	Alert           bool          // targets have crashed under wide requests lately: one crash ends the request, and a part that a target broke off is not sent again
 	Answered        bool          // a target already answered this request in an earlier Dispatch
 	Crashed         bool          // a target already crashed on this request in an earlier Dispatch
 	MaxHedges       int           // how many parts may be hedged; 0 means all. If many parts are late at once, more requests would delay them further
 	RetryShed       bool          // after a pause, retry the replicas that refused a part for load
-	HoldLost        bool          // do not ask another replica after a target broke off a request without an answer, until some target has answered: the request may crash all targets that run it
+	HoldLost        bool          // after a target broke off a request without an answer, send nothing more until some target has answered: the request may crash all targets that run it
 	KeepLosers      bool          // do not cancel requests in flight once their part is answered or the answer closes
 	Rand            *rand.Rand
 
@@ -84,6 +86,18 @@
 	return l[n-1], true
 }
 
+// ProbeDelay is like StartDelay for the parts in Probes, of which one is enough. It is 0 if there are none.
+func (o DispatchOptions) ProbeDelay(now time.Time) (time.Duration, bool) {
+	if len(o.Probes) == 0 {
+		return 0, true
+	}
+	l := make([]DispatchPart, 0, len(o.Probes))
+	for _, n := range o.Probes {
+		l = append(l, o.Parts[n])
+	}
+	return DispatchOptions{Parts: l}.StartDelay(now)
+}
+
 // DispatchAction tells the caller of a Dispatch to send part Part to Target or, if
 // Target is nil, to cancel attempt Attempt. The caller must call Target.Release when
 // an attempt ends.
--- a/cowslipquery/hedge.go
+++ b/cowslipquery/hedge.go
@@ -6,7 +6,7 @@
 // hedged in its present state.
 func (d *Dispatch) hedgeDue(n int) (time.Time, bool) {
 	p, h := &d.parts[n], d.options.HedgeAfter
-	if h == 0 || d.options.AtMostOnce || d.crashed || d.options.ProbeFirst && !d.answered || p.inFlight == 0 || p.hedged || p.settled() || p.attempts >= d.maxAttempts(n) || d.options.MaxHedges > 0 && d.hedges >= d.options.MaxHedges {
+	if h == 0 || d.options.AtMostOnce || d.crashed || d.probing() || d.lossUnexplained() || p.inFlight == 0 || p.hedged || p.settled() || p.attempts >= d.maxAttempts(n) || d.options.MaxHedges > 0 && d.hedges >= d.options.MaxHedges {
 		return time.Time{}, false
 	}
 	if p.hedgeRetryAt.After(p.sentAt.Add(h)) {
@@ -18,6 +18,7 @@
 // sendHedges sends the hedges that are due, as far as the budget and the free slots of
 // the replicas allow.
 func (d *Dispatch) sendHedges(now time.Time) {
+	d.hedgeProbe(now)
 	for i := range d.parts {
 		p := &d.parts[i]
 		t, ok := d.hedgeDue(i)
--- a/cowslipquery/query.go
+++ b/cowslipquery/query.go
@@ -29,7 +29,7 @@
 	Start       time.Time
 	Deadline    time.Duration
 	Versions    cowsliproute.VersionPreference
-	ProbeFirst  bool // as in DispatchOptions
+	ProbeFirst  bool // probe the first part, as Probes of DispatchOptions says
 	NoHedge     bool // disable hedging, as a baseline for measurements
 	AcceptStale bool // answer from this view, even if it no longer fits what the targets hold
 	Rand        *rand.Rand
@@ -150,7 +150,7 @@
 // crashed.
 func (q *Query) pinSnapshot(n int) {
 	o := DispatchOptions{
-		View: q.options.View, CloseAt: q.closeAt, HedgeAfter: q.options.Service.HedgeAfter(), ProbeFirst: q.options.ProbeFirst, RetryShed: true, Rand: q.options.Rand,
+		View: q.options.View, CloseAt: q.closeAt, HedgeAfter: q.options.Service.HedgeAfter(), RetryShed: true, Rand: q.options.Rand,
 	}
 	if q.options.NoHedge {
 		o.HedgeAfter = 0
@@ -169,6 +169,9 @@
 			o.Parts = append(o.Parts, DispatchPart{Service: q.options.Service, Replicas: p.Replicas, Versions: q.options.Versions})
 		}
 	}
+	if q.options.ProbeFirst && len(o.Parts) > 0 {
+		o.Probes = []int{0}
+	}
 	q.needed = len(o.Parts)
 	q.dispatch = NewDispatch(o)
 }
