Probe unknown wide queries while targets crash under them, and warn other instances

A wide query that crashes its targets went to all shards at once, through each instance that got it before the store showed the first crash. The guard now plans each wide request: after a crash, unknown ones go to one of a few shards first, the same ones at all instances. A confirmed crash is passed to the dispatch, to the guard and, as a warning, to the instances that send wide requests, which end the same request in flight. Crash keys say whether the request was wide, so that a new instance starts alert.

--- a/cowslipcontrol/quarantine.go
+++ b/cowslipcontrol/quarantine.go
@@ -52,6 +52,7 @@
 	Partial     bool   // targets of other services answered the request
 	Answered    bool   // another sending of the request was answered shortly before
 	Trial       bool   // the request was sent after a hold
+	Wide        bool   // the request was sent to several services
 }
 
 // Crashed records the crash of a target under a request. It reports false if nothing new
@@ -93,13 +94,14 @@
 	Partial     bool      `json:"partial,omitempty"`  // targets of other services answered the request
 	Answered    bool      `json:"answered,omitempty"` // another sending of the request was answered shortly before
 	Trial       bool      `json:"trial,omitempty"`    // the request was sent after a hold
+	Wide        bool      `json:"wide,omitempty"`     // the request was sent to several services
 	Revision    uint64    `json:"-"`                  // of the store; 0 if it is not known
 }
 
 // Shared returns the crash as instances tell each other.
 func (x Crash) Shared() SharedCrash {
 	i := x.Target.Info()
-	return SharedCrash{Fingerprint: x.Fingerprint, Family: x.Family, Copies: x.Copies, Content: x.Content, Sent: x.Sent, Ended: x.Ended, Incident: x.Incident, EndedRun: i.ID + "/" + x.Incarnation, Service: i.Service, Version: i.Version, Partial: x.Partial, Answered: x.Answered, Trial: x.Trial}
+	return SharedCrash{Fingerprint: x.Fingerprint, Family: x.Family, Copies: x.Copies, Content: x.Content, Sent: x.Sent, Ended: x.Ended, Incident: x.Incident, EndedRun: i.ID + "/" + x.Incarnation, Service: i.Service, Version: i.Version, Partial: x.Partial, Answered: x.Answered, Trial: x.Trial, Wide: x.Wide}
 }
 
 func (s SharedCrash) row(now time.Time) crash {
--- a/cowslipcontrol/relay.go
+++ b/cowslipcontrol/relay.go
@@ -33,6 +33,17 @@
 	return c.groupWhere(func(capacity float64) bool { return isDirectSender(capacity, most) })
 }
 
+// WidePeers returns the other instances that send wide requests to targets themselves.
+func (c *Control) WidePeers() []Member {
+	var l []Member
+	for i := range c.peers {
+		if p := &c.peers[i]; !p.gone() && c.sendsDirectly(p.capacity) {
+			l = append(l, p.member())
+		}
+	}
+	return l
+}
+
 // relayingSenders returns the other instances, which pass wide requests on.
 func (c *Control) relayingSenders() senderGroup {
 	most := c.largestCapacity()
--- a/cowslipentry/crashqueue.go
+++ b/cowslipentry/crashqueue.go
@@ -119,6 +119,7 @@
 func (e *Entry) shareEndedRuns(v *cowsliproute.View, l []cowslipcontrol.SharedCrash) {
 	e.doubtfulCrashes.limiter.SetLimit(rate.Limit(doubtfulShareRate / float64(e.control.Counts().Peers+1)))
 	for _, s := range l {
+		e.guardCrash(s, e.clock.Since(s.Ended))
 		e.metrics.crashes.Add(1)
 		q := e.doubtfulCrashes
 		if max(v.CrashVerdict(s.Fingerprint), v.CrashVerdict(s.Family), v.CrashVerdict(s.Copies), v.CrashVerdict(s.Content)) == cowsliproute.Quarantined {
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -109,6 +109,7 @@
 	crashes         *crashQueue // to be written to the store
 	trials          sync.Map    // contents of requests that were held and are tried again
 	answers         answers
+	wide            wideGuard
 	doubtfulCrashes *crashQueue   // likewise, of targets that were merely silent when their run ended
 	loopDone        chan struct{} // closed when controlLoop returns
 	exchangeNow     chan struct{}
@@ -213,7 +214,7 @@
 			}
 		})
 	}
-	s := &cowslippeer.Server{OnExchange: e.onExchange, OnEvents: e.onEvents, OnFollow: e.onFollow, OnRelay: e.onRelay}
+	s := &cowslippeer.Server{OnExchange: e.onExchange, OnEvents: e.onEvents, OnFollow: e.onFollow, OnRelay: e.onRelay, OnWarn: e.onWarn}
 	peers := boundedListener{e.opts.Peers, maxPeerRequestBytes, cowsliptarget.NewBuffers(e.opts.Memory / peerMemoryDivisor)}
 	start(func() error { return s.Serve(e.ctx, peers) })
 	start(callers.Serve)
--- a/cowslipentry/follow.go
+++ b/cowslipentry/follow.go
@@ -355,6 +355,7 @@
 	r := e.mirror.Revision()
 	members := e.decodeMembers(values)
 	crashes := e.decodeCrashes(values)
+	e.guardSharedCrashes(crashes)
 	clearings, holds := e.decodeClearings(values), e.decodeHolds(values)
 	e.do(func(now time.Time, c *cowslipcontrol.Control) {
 		c.UpdateMembers(now, members)
--- a/cowslipentry/forward.go
+++ b/cowslipentry/forward.go
@@ -70,6 +70,8 @@
 	suspicion   cowsliproute.Suspicion
 	trial       *cowslipcontrol.SharedHold // as the store shows it; nil if the request is not sent as a trial
 
+	guard forwardGuard
+
 	relayedBy string // ID of the instance that served the request for this one, empty if none did
 
 	partialAt time.Time // for gather routes: from then on, the answer closes as soon as it has minParts parts
@@ -94,6 +96,7 @@
 	outcome     cowsliptarget.Outcome
 	response    cowsliptarget.Response
 	info        ResponseInfo
+	crashed     bool // news that the target has crashed, after its result, or another instance's target if attempt is -1
 }
 
 // Forward serves a caller's request according to the configured routes. It returns
@@ -113,6 +116,7 @@
 	f.suspicion = f.sendingSuspicion()
 	x := f.serve(ctx)
 	f.reportCrashes(x)
+	f.reportAnswer(x)
 	f.releaseResponses()
 	f.observeReply(x)
 	return x
@@ -140,12 +144,16 @@
 	if x, ok := f.refuseHopeless(o); ok {
 		return x
 	}
+	if x, ok := f.planProbes(&o); ok {
+		return x
+	}
 	if f.suspicion.Trial && !f.beginTrial(ctx) {
 		return notRunReply("the request has crashed targets and is tried elsewhere", trialRetryAfter)
 	}
 	f.options = o
 	f.dispatch = cowslipquery.NewDispatch(o)
 	f.results, f.done = make(chan forwardResult, len(o.Parts)), make(chan struct{})
+	defer f.awaitWarnings()()
 	f.runDispatch(ctx)
 	switch {
 	case ctx.Err() != nil:
@@ -178,9 +186,7 @@
 		}
 		return o
 	}
-	if o.HoldLost = true; f.suspicion.Whole {
-		o.Probes = []int{0}
-	}
+	o.HoldLost = true
 	f.services = c.Gather()
 	f.partialAt = f.start.Add(c.LatencyTarget() - f.replyMargin())
 	if f.suspicion.Trial {
@@ -289,7 +295,11 @@
 }
 
 func (f *forward) handleResult(x forwardResult) []cowslipquery.DispatchAction {
+	if x.crashed {
+		return f.handleCrash(x.attempt)
+	}
 	f.attempts[x.attempt] = x
+	f.checkLoss(x)
 	return f.dispatch.AttemptEnded(f.clock.Now(), x.attempt, x.outcome, false)
 }
 
--- a/cowslipentry/forwardadmission.go
+++ b/cowslipentry/forwardadmission.go
@@ -55,6 +55,9 @@
 // until enough targets take requests again.
 func (f *forward) returnDelay() time.Duration {
 	d, _ := f.options.StartDelay(f.clock.Now())
+	if len(f.options.Probes) > 0 {
+		d = max(d, probeRetryAfter)
+	}
 	return spreadReturn(d)
 }
 
--- a/cowslipentry/forwardcrash.go
+++ b/cowslipentry/forwardcrash.go
@@ -1,6 +1,7 @@
 package cowslipentry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -92,6 +93,10 @@
 		}
 	}
 	if len(lost) > 0 {
+		// Only the first ones are checked, and those that were cancelled may not have run.
+		slices.SortStableFunc(lost, func(a, b forwardResult) int {
+			return cmp.Compare(a.outcome/cowsliptarget.Cancelled, b.outcome/cowsliptarget.Cancelled)
+		})
 		f.logLost(lost)
 		ended := f.clock.Now()
 		f.runInBackground(func(ctx context.Context) {
@@ -160,7 +165,7 @@
 	answered := f.answers.has(f.clock.Now(), f.fingerprint) || f.answers.has(f.clock.Now(), f.content)
 	var unanswered []cowslipcontrol.Crash
 	for _, x := range l {
-		k := cowslipcontrol.Crash{Fingerprint: f.fingerprint, Family: f.family, Copies: f.copies, Content: f.content, Incident: f.incident, Sent: f.start, Ended: ended, Target: x.target, Incarnation: x.incarnation, Partial: partial, Answered: answered, Trial: f.suspicion.Trial}
+		k := cowslipcontrol.Crash{Fingerprint: f.fingerprint, Family: f.family, Copies: f.copies, Content: f.content, Incident: f.incident, Sent: f.start, Ended: ended, Target: x.target, Incarnation: x.incarnation, Partial: partial, Answered: answered, Trial: f.suspicion.Trial, Wide: f.gathers()}
 		if !f.refuses(ctx, x) {
 			unanswered = append(unanswered, k)
 			continue
--- /dev/null
+++ b/cowslipentry/forwardprobe.go
@@ -0,0 +1,127 @@
+package cowslipentry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"cowslipflow/cowslipcontrol"
+	"cowslipflow/cowslipguard"
+	"cowslipflow/cowslipmessage"
+	"cowslipflow/cowslipquery"
+	"cowslipflow/cowsliptarget"
+)
+
+// probeRetryAfter is the delay that callers are told to wait if no probe shard has a target. It
+// takes seconds until one is back, but callers wait only for a third of the time that they have left.
+const probeRetryAfter = 120 * time.Millisecond
+
+// forwardGuard is the part of a wide request's state that guards targets against crashes. The
+// zero value is that of a request to a single service.
+type forwardGuard struct {
+	guard  *cowslipguard.Guard // of the services asked; nil for a single one
+	checks int                 // targets that were checked for a crash
+	warned atomic.Bool         // other instances were warned of the request
+}
+
+// planProbes sets in the options how a wide request is sent while some crash targets. It refuses
+// one that must not be sent now.
+func (f *forward) planProbes(o *cowslipquery.DispatchOptions) (Reply, bool) {
+	if !f.gathers() {
+		return Reply{}, false
+	}
+	c, now := f.route.Config(), f.clock.Now()
+	f.guard.guard = f.wide.guards.Of(f.services...)
+	p := f.guard.guard.Plan(now, f.copies, f.services, c.MinCoverage())
+	if p.Wait > 0 && !f.suspicion.Trial {
+		f.metrics.wideRefused.Add(1)
+		return notRunReply("a target crashed under the request", spreadReturn(p.Wait)), true
+	}
+	o.Alert, o.Probes, o.HedgeProbe = p.Alert, p.Probes, true
+	if f.suspicion.Whole {
+		o.Probes, o.HedgeProbe = cowslipguard.ProbeShards(f.copies, f.services, c.MinCoverage()), false
+	}
+	if len(o.Probes) == 0 {
+		return Reply{}, false
+	}
+	d, ok := o.ProbeDelay(now)
+	if !ok {
+		d = probeRetryAfter
+	}
+	if !ok || d > 0 && now.Add(d).After(o.CapacityDeadline) {
+		f.metrics.wideRefused.Add(1)
+		return notRunReply("targets crash under wide requests, and none that may be asked first takes the request", spreadReturn(d)), true
+	}
+	f.metrics.wideProbed.Add(1)
+	return Reply{}, false
+}
+
+// checkLoss checks, in the background, whether the target of an attempt of a wide request has
+// crashed. The request is told at once, as are the guard and other instances.
+func (f *forward) checkLoss(x forwardResult) {
+	if f.guard.guard == nil || x.outcome != cowsliptarget.Lost && x.outcome != cowsliptarget.Corrupt || x.target.Leaving() || f.guard.checks >= maxCrashProbes {
+		return
+	}
+	f.guard.checks++
+	excused := f.dispatch.Answered() || f.answers.has(f.clock.Now(), f.fingerprint)
+	f.runInBackground(func(ctx context.Context) {
+		if f.forwarder.Refuses(ctx, x.target.Info().Addr) {
+			f.sendResult(forwardResult{attempt: x.attempt, crashed: true})
+			f.recordLoss(x.target.Info().Service, excused)
+		}
+	})
+}
+
+// recordLoss tells the guard and, once for each sending, other instances of a crash.
+func (f *forward) recordLoss(service string, excused bool) {
+	now := f.clock.Now()
+	f.guardLoss(f.guard.guard, cowslipguard.Loss{Request: f.copies, Excused: excused}, service, f.incident)
+	if !f.guard.warned.CompareAndSwap(false, true) {
+		return
+	}
+	w := crashWarning{at: now, message: &cowslipmessage.CrashWarning{
+		Id: f.opts.ID, Incarnation: f.incarnation, Incident: f.incident, Fingerprint: f.fingerprint, Family: f.family, Copies: f.copies, Content: f.content, Services: []string{service},
+	}}
+	if !excused {
+		w.message.Crashes = 1
+	}
+	f.warnPeers(w)
+}
+
+// handleCrash passes the news of a crash to the Dispatch.
+func (f *forward) handleCrash(attempt int) []cowslipquery.DispatchAction {
+	if attempt < 0 {
+		return f.dispatch.Stop()
+	}
+	return f.dispatch.TargetCrashed(f.clock.Now(), attempt)
+}
+
+// awaitWarnings makes a wide request end if a target crashes under it at another instance. The
+// returned function ends that.
+func (f *forward) awaitWarnings() func() {
+	if f.guard.guard == nil {
+		return func() {}
+	}
+	f.wide.running.add(f)
+	return func() { f.wide.running.remove(f) }
+}
+
+// reportAnswer tells the guard of an answer of all shards.
+func (f *forward) reportAnswer(x Reply) {
+	if f.guard.guard != nil && x.Kind == ReplyGathered && x.Missing == 0 {
+		f.guard.guard.Answered(f.start, f.copies)
+	}
+}
+
+// guardCrash tells the guard of the services of a crash under a wide request.
+func (e *Entry) guardCrash(s cowslipcontrol.SharedCrash, age time.Duration) {
+	if s.Wide && age < cowslipguard.AlertTime {
+		e.guardLoss(e.wide.guards.Of(s.Service), cowslipguard.Loss{Age: age, Request: s.Copies, Excused: s.Answered || s.Partial}, s.Service, s.Incident)
+	}
+}
+
+func (e *Entry) guardLoss(g *cowslipguard.Guard, l cowslipguard.Loss, service, incident string) {
+	if g.Loss(e.clock.Now(), l) {
+		e.event("wideRequestsGuarded", service, "a target crashed under wide request "+incident+"; unknown ones are sent to one shard first until "+cowslipguard.AlertTime.String()+" after the last crash")
+	}
+}
--- a/cowslipentry/metrics.go
+++ b/cowslipentry/metrics.go
@@ -29,6 +29,11 @@
 	refusedForPace    *expvar.Int // requests refused at once since targets take none in time
 	crashes           *expvar.Int
 	crashesNotShared  *expvar.Int // failed attempts to tell the other instances of a crash
+	wideProbed        *expvar.Int // wide requests sent to one shard first
+	wideRefused       *expvar.Int // wide requests refused since targets crash under wide requests
+	warningsSent      *expvar.Int // crash warnings sent to another instance
+	warningsReceived  *expvar.Int
+	warningsDropped   *expvar.Int // crash warnings that gave way to newer ones
 	reruns            *expvar.Int // queries run again because the view was stale
 	probes            *expvar.Int
 	exchanges         *expvar.Int
@@ -60,6 +65,8 @@
 	m.queries, m.incomplete, m.records, m.refusedForLoad = n("queries"), n("queriesIncomplete"), n("records"), n("refusedForLoad")
 	m.subRequestsNeeded, m.subRequestsSent, m.crashes, m.reruns = n("subRequestsNeeded"), n("subRequestsSent"), n("targetCrashes"), n("reruns")
 	m.refusedForPace = n("refusedForPace")
+	m.wideProbed, m.wideRefused = n("wideProbed"), n("wideRefused")
+	m.warningsSent, m.warningsReceived, m.warningsDropped = n("crashWarningsSent"), n("crashWarningsReceived"), n("crashWarningsDropped")
 	m.crashesNotShared = n("targetCrashesNotShared")
 	m.probes, m.exchanges, m.ticks, m.tickNanos = n("probes"), n("exchanges"), n("ticks"), n("tickNanos")
 	m.storeCalls = n("storeCalls")
--- a/cowslipguard/guard.go
+++ b/cowslipguard/guard.go
@@ -36,10 +36,11 @@
 
 // Loss is a target that crashed under a wide request.
 type Loss struct {
-	Age time.Duration // time since the target broke off the request
-	// Request identifies the request by all but its caller. It is 0 if a target has answered the request lately, so that
-	// it probably only shared the target with one that crashes targets.
-	Request uint64
+	Age     time.Duration // time since the target broke off the request
+	Request uint64        // identifies the request by all but its caller
+	// Excused is set if a target has answered the request lately. It probably only shared the
+	// target with one that crashes targets, and may be sent again at once.
+	Excused bool
 }
 
 // Plan is how a wide request is sent.
@@ -64,8 +65,8 @@
 	if u := at.Add(AlertTime); u.After(g.until) {
 		g.until = u
 	}
-	if l.Request != 0 {
-		g.answered.remove(l.Request)
+	g.answered.remove(l.Request)
+	if !l.Excused {
 		g.lost.add(l.Request, at)
 	}
 	return began
--- a/cowslipguard/guard_test.go
+++ b/cowslipguard/guard_test.go
@@ -105,6 +105,10 @@
 		{"another one answered", func(g *cowslipguard.Guard) { g.Answered(at(1), content+1) }, at(2), 2, 0},
 		{"sent before the alert", func(g *cowslipguard.Guard) { g.Answered(at(-1), content) }, at(2), 2, 0},
 		{"lost", func(g *cowslipguard.Guard) { g.Loss(at(1), cowslipguard.Loss{Request: content}) }, at(1.25), 2, 750 * time.Millisecond},
+		{"lost, excused", func(g *cowslipguard.Guard) {
+			g.Answered(at(1), content)
+			g.Loss(at(1), cowslipguard.Loss{Request: content, Excused: true})
+		}, at(1.25), 2, 0},
 		{"lost a while ago", func(g *cowslipguard.Guard) { g.Loss(at(1), cowslipguard.Loss{Request: content}) }, at(2), 2, 0},
 		{"answered, then lost", func(g *cowslipguard.Guard) {
 			g.Answered(at(1), content)
