Crash checks: look again some milliseconds later, and warn at the stated rate

A process that ends may close its connections before its listener, and the single check at once then took it to live, so that neither the request nor other instances were told. The task that sends warnings also spent a permit on finding that none waits, which halved its rate.

--- a/cowslipcontrol/relay_test.go
+++ b/cowslipcontrol/relay_test.go
@@ -158,3 +158,35 @@
 		})
 	}
 }
+
+// Guards against warnings to instances that have no use for them, and against one that sends wide
+// requests and is not warned.
+func TestInstancesThatSendWideRequests(t *testing.T) {
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	for _, c := range []struct {
+		name       string
+		capacities []float64 // that of this instance first
+		gone       []string
+		peers      []string
+	}{
+		{"small beside large", []float64{0.2, 0.2, 0.8, 0.8}, nil, []string{"e2", "e3"}},
+		{"large beside small", []float64{0.8, 0.2, 0.2, 0.8}, nil, []string{"e3"}},
+		{"equals", []float64{0.4, 0.4, 0.4}, nil, []string{"e1", "e2"}},
+		{"one large instance gone", []float64{0.2, 0.2, 0.8, 0.8}, []string{"e2"}, []string{"e3"}},
+		{"all large instances gone", []float64{0.2, 0.2, 0.8}, []string{"e2"}, []string{"e1"}},
+		{"alone", []float64{0.2}, nil, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newWithCapacities(now, c.capacities...)
+			for _, id := range c.gone {
+				x.PeerFailed(now, id, true)
+			}
+			var l []string
+			for _, m := range x.WidePeers() {
+				require.NotEmpty(t, m.Addr)
+				l = append(l, m.ID)
+			}
+			require.ElementsMatch(t, c.peers, l)
+		})
+	}
+}
--- a/cowslipentry/crashwarning.go
+++ b/cowslipentry/crashwarning.go
@@ -97,17 +97,22 @@
 	return start, dropped
 }
 
-// take removes the newest warning. If there is none, the task that sends them ends.
-func (q *warningQueue) take() (crashWarning, bool) {
+// more reports whether a warning waits. If none does, the task that sends them ends.
+func (q *warningQueue) more() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	n := len(q.waiting)
-	if q.sending = n > 0; !q.sending {
-		return crashWarning{}, false
-	}
-	w := q.waiting[n-1]
-	q.waiting = q.waiting[:n-1]
-	return w, true
+	q.sending = len(q.waiting) > 0
+	return q.sending
+}
+
+// take removes the newest warning. One must wait.
+func (q *warningQueue) take() crashWarning {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := len(q.waiting) - 1
+	w := q.waiting[n]
+	q.waiting = q.waiting[:n]
+	return w
 }
 
 // client returns the client of the instance at an address.
@@ -160,11 +165,8 @@
 // sendWarnings sends the warnings that wait.
 func (e *Entry) sendWarnings(ctx context.Context) {
 	q := &e.wide.warnings
-	for q.wait(ctx) == nil {
-		w, ok := q.take()
-		if !ok {
-			return
-		}
+	for q.more() && q.wait(ctx) == nil {
+		w := q.take()
 		var l []cowslipcontrol.Member
 		e.do(func(_ time.Time, c *cowslipcontrol.Control) { l = c.WidePeers() })
 		q.retain(l)
--- a/cowslipentry/crashwarning_test.go
+++ b/cowslipentry/crashwarning_test.go
@@ -15,8 +15,10 @@
 	"cowslipflow/cowslipquery"
 	"cowslipflow/cowsliproute"
 	"cowslipflow/cowslipstandin"
+	"cowslipflow/cowsliptarget"
 
 	"github.com/stretchr/testify/require"
+	clocktesting "k8s.io/utils/clock/testing"
 )
 
 const guardedShards = 20
@@ -124,7 +126,7 @@
 			l := []cowslipcontrol.SharedCrash{{Copies: 8, Incident: "i", EndedRun: "t/run", Service: "w3", Ended: e.clock.Now().Add(-c.age), Wide: c.wide}}
 			e.guardSharedCrashes(l)
 			require.Equal(t, c.alert, planned(f).Alert)
-			e.clock.(interface{ Step(time.Duration) }).Step(cowslipguard.AlertTime)
+			e.clock.(*clocktesting.FakeClock).Step(cowslipguard.AlertTime)
 			e.guardSharedCrashes(l)
 			require.False(t, planned(f).Alert)
 		})
@@ -179,6 +181,41 @@
 	require.False(t, o.HedgeProbe, "a request that has crashed a target is sent to one only")
 }
 
+// Guards against a crash that is missed since the target's connections end before its listener,
+// and against a target that lives and counts as crashed.
+func TestCrashOfATargetThatClosesItsListenerLate(t *testing.T) {
+	for _, crashes := range []bool{true, false} {
+		e, f := newGuardedEntry(t)
+		clock := e.clock.(*clocktesting.FakeClock)
+		f.guard.guard = e.wide.guards.Of(f.services...)
+		f.dispatch = cowslipquery.NewDispatch(cowslipquery.DispatchOptions{})
+		l := listen(t)
+		waiting := clock.Waiters()
+		f.checkLoss(forwardResult{outcome: cowsliptarget.Lost, target: cowsliproute.NewTarget(cowsliproute.TargetInfo{ID: "t", Service: "w3", Addr: l.Addr().String()})})
+		require.Eventually(t, func() bool { return clock.Waiters() > waiting }, waitLimit, time.Millisecond)
+		if crashes {
+			l.Close()
+		}
+		ended := make(chan bool)
+		go func() {
+			e.background.Wait()
+			close(ended)
+		}()
+		require.Eventually(t, func() bool {
+			clock.Step(tickInterval)
+			select {
+			case <-ended:
+				return true
+			default:
+				return false
+			}
+		}, waitLimit, time.Millisecond, "the checks do not end")
+		require.Equal(t, crashes, planned(f).Alert)
+		require.Equal(t, crashes, len(f.results) == 1)
+		l.Close()
+	}
+}
+
 // Guards against warnings of long ago that delay the newest one, and against memory that grows
 // with them.
 func TestNewestWarningGoesFirst(t *testing.T) {
@@ -196,12 +233,10 @@
 	require.Equal(t, 1, started)
 	require.Equal(t, maxCrashWarnings, dropped)
 	for n := range maxCrashWarnings {
-		w, ok := q.take()
-		require.True(t, ok)
-		require.EqualValues(t, 2*maxCrashWarnings-1-n, w.message.GetCopies())
+		require.True(t, q.more())
+		require.EqualValues(t, 2*maxCrashWarnings-1-n, q.take().message.GetCopies())
 	}
-	_, ok := q.take()
-	require.False(t, ok)
+	require.False(t, q.more())
 	start, _ := q.add(crashWarning{})
 	require.True(t, start, "the task that sends them has ended")
 }
--- a/cowslipentry/forwardprobe.go
+++ b/cowslipentry/forwardprobe.go
@@ -16,6 +16,10 @@
 // takes seconds until one is back, but callers wait only for a third of the time that they have left.
 const probeRetryAfter = 120 * time.Millisecond
 
+// lossCheckDelays are the waits before each check of a target that broke off a request. A process
+// that ends may close its connections some milliseconds before its listener.
+var lossCheckDelays = []time.Duration{0, 5 * time.Millisecond, 20 * time.Millisecond}
+
 // forwardGuard is the part of a wide request's state that guards targets against crashes. The
 // zero value is that of a request to a single service.
 type forwardGuard struct {
@@ -65,13 +69,24 @@
 	f.guard.checks++
 	excused := f.dispatch.Answered() || f.answers.has(f.clock.Now(), f.fingerprint)
 	f.runInBackground(func(ctx context.Context) {
-		if f.forwarder.Refuses(ctx, x.target.Info().Addr) {
+		if f.refusesSoon(ctx, x.target.Info().Addr) {
 			f.sendResult(forwardResult{attempt: x.attempt, crashed: true})
 			f.recordLoss(x.target.Info().Service, excused)
 		}
 	})
 }
 
+// refusesSoon reports whether the host at an address refuses connections, or does so after one
+// of lossCheckDelays.
+func (f *forward) refusesSoon(ctx context.Context, addr string) bool {
+	for _, d := range lossCheckDelays {
+		if f.sleep(ctx, d) && f.forwarder.Refuses(ctx, addr) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordLoss tells the guard and, once for each sending, other instances of a crash.
 func (f *forward) recordLoss(service string, excused bool) {
 	now := f.clock.Now()
