--- a/cowslipentry/forwardcrash.go
+++ b/cowslipentry/forwardcrash.go
@@ -1,7 +1,6 @@
 package cowslipentry
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -83,20 +82,21 @@
 	if f.trial != nil {
 		f.endTrial()
 	}
-	var lost []forwardResult
+	var lost, cancelled []forwardResult
 	for _, x := range f.attempts {
 		switch x.outcome {
-		case cowsliptarget.Lost, cowsliptarget.Corrupt, cowsliptarget.Cancelled:
+		case cowsliptarget.Lost, cowsliptarget.Corrupt:
 			if !answered[x.target.Info().Service] {
 				lost = append(lost, x)
 			}
+		case cowsliptarget.Cancelled:
+			if !answered[x.target.Info().Service] {
+				cancelled = append(cancelled, x)
+			}
 		}
 	}
-	if len(lost) > 0 {
-		// Only the first ones are checked, and those that were cancelled may not have run.
-		slices.SortStableFunc(lost, func(a, b forwardResult) int {
-			return cmp.Compare(a.outcome/cowsliptarget.Cancelled, b.outcome/cowsliptarget.Cancelled)
-		})
+	// Only the first ones are checked, and those that were cancelled may not have run.
+	if lost = append(lost, cancelled...); len(lost) > 0 {
 		f.logLost(lost)
 		ended := f.clock.Now()
 		f.runInBackground(func(ctx context.Context) {
