--- a/cowslipentry/forwardcrash.go
+++ b/cowslipentry/forwardcrash.go
@@ -82,16 +82,21 @@
 	if f.trial != nil {
 		f.endTrial()
 	}
-	var lost []forwardResult
+	var lost, cancelled []forwardResult
 	for _, x := range f.attempts {
 		switch x.outcome {
-		case cowsliptarget.Lost, cowsliptarget.Corrupt, cowsliptarget.Cancelled:
+		case cowsliptarget.Lost, cowsliptarget.Corrupt:
 			if !answered[x.target.Info().Service] {
 				lost = append(lost, x)
 			}
+		case cowsliptarget.Cancelled:
+			if !answered[x.target.Info().Service] {
+				cancelled = append(cancelled, x)
+			}
 		}
 	}
-	if len(lost) > 0 {
+	// Only the first ones are checked, and those that were cancelled may not have run.
+	if lost = append(lost, cancelled...); len(lost) > 0 {
 		f.logLost(lost)
 		ended := f.clock.Now()
 		f.runInBackground(func(ctx context.Context) {
@@ -160,7 +165,7 @@
 	answered := f.answers.has(f.clock.Now(), f.fingerprint) || f.answers.has(f.clock.Now(), f.content)
 	var unanswered []cowslipcontrol.Crash
 	for _, x := range l {
-		k := cowslipcontrol.Crash{Fingerprint: f.fingerprint, Family: f.family, Copies: f.copies, Content: f.content, Incident: f.incident, Sent: f.start, Ended: ended, Target: x.target, Incarnation: x.incarnation, Partial: partial, Answered: answered, Trial: f.suspicion.Trial}
+		k := cowslipcontrol.Crash{Fingerprint: f.fingerprint, Family: f.family, Copies: f.copies, Content: f.content, Incident: f.incident, Sent: f.start, Ended: ended, Target: x.target, Incarnation: x.incarnation, Partial: partial, Answered: answered, Trial: f.suspicion.Trial, Wide: f.gathers()}
 		if !f.refuses(ctx, x) {
 			unanswered = append(unanswered, k)
 			continue
