--- a/cowslipcapacity/table.go
+++ b/cowslipcapacity/table.go
@@ -48,6 +48,15 @@
 // Source is an instance that tells what it has learned.
 type Source struct{ ID, FailureDomain string }
 
+// Status is what is known of one run of a target, for operators.
+type Status struct {
+	Target    string  `json:"target"`
+	Speed     float64 `json:"speed"`     // relative to the other targets of its service, 0 if not published yet
+	Limit     float64 `json:"limit"`     // requests in flight up to which it does not slow down, 0 if unknown
+	Samples   float64 `json:"samples"`   // on which the estimate rests, over all instances, decayed
+	AgeMillis int64   `json:"ageMillis"` // since the last sample
+}
+
 // told is what another instance told of a target.
 type told struct {
 	estimate Estimate
@@ -165,6 +174,22 @@
 	return l
 }
 
+// Status returns what is known of all targets, the best known ones first.
+func (t *Table) Status(now time.Time) []Status {
+	l := t.Estimates(now, everyone, math.MaxInt)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := []Status{}
+	for _, e := range l {
+		s := Status{Target: e.ID, Limit: e.Limit, Samples: math.Round(e.Weight), AgeMillis: e.Age.Milliseconds()}
+		if x := t.rows[e.Key]; x != nil {
+			s.Speed = x.published.Speed
+		}
+		r = append(r, s)
+	}
+	return r
+}
+
 func everyone(Source) bool { return true }
 
 // combine returns the mean of the own estimate and those of the included others, by their
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -195,6 +195,7 @@
 		NoRamp: o.Baseline.NoRamp, NoPool: o.Baseline.NoPool, NoAdmission: o.Baseline.NoAdmission, RoundRobin: o.Baseline.RoundRobin, Event: e.event,
 		ListOnly: o.Edge != nil, Bounds: o.Bounds.controlBounds(), AnsweredSince: e.answers.hasSince,
 	}, e.clock.Now())
+	e.metrics.vars.Set("learnedTargets", expvar.Func(func() any { return e.learner.table.Status(e.clock.Now()) }))
 	e.metrics.vars.Set("state", expvar.Func(func() any { return e.state() }))
 	e.recorder = &cowsliprecord.Recorder{Entry: o.ID, Store: o.Store, Clock: e.clock, Background: e.runInBackground}
 	return e, nil
