Usage: report the first window with its counts; never change the holder back at once

Cause: (1) In a trial with all instances just started, the first window was left out (339 of 365 requests reported): the holder chose the first window before the instances had the time correction that their counts wait for. (3) A report that the interface rejected three times was dropped, though a rejection may be that of a proxy while the interface restarts. Change: a holder without sums chooses the first window after 4 s. An instance that may have been the holder before the last one waits one lease after the key has gone. Rejected reports are repeated like others for a minute; windows do not wait for each other.

--- a/cowslipentry/usage.go
+++ b/cowslipentry/usage.go
@@ -158,8 +158,8 @@
 
 // seen returns what the mirror shows of the duty.
 func (u *usage) seen() cowslipusage.Seen {
-	if _, held := u.mirror.Get(cowslipusage.HolderKey); held {
-		return cowslipusage.Seen{Held: true, Rank: -1}
+	if h, _, held := u.holder(); held {
+		return cowslipusage.Seen{Holder: h.ID, Rank: -1}
 	}
 	if !u.isMirrorConfirmed() || u.draining.Load() {
 		return cowslipusage.Seen{Rank: -1}
@@ -359,11 +359,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), usageStopTimeout)
 	defer cancel()
 	h, _, ok := u.holder()
-	if !ok {
-		return
-	}
-	w, n := u.counter.Report(u.now())
-	if len(w) > 0 {
+	if w, n := u.counter.Report(u.now()); ok && len(w) > 0 {
 		k := &cowslippeer.Client{Addr: h.Addr, Dial: u.opts.Dial}
 		defer k.Close()
 		u.sendCounts(ctx, k, h, w, n)
--- a/cowslipusage/duty.go
+++ b/cowslipusage/duty.go
@@ -26,6 +26,10 @@
 	// retakeLeases is how many leases an instance that lost the duty waits before it
 	// takes it again, so that the holder does not alternate.
 	retakeLeases = 2
+	// alternateTime is how long an instance that held the duty, or may have held it in an
+	// earlier process, counts as the one before the present holder. A holder whose calls
+	// do not arrive for longer than that has dropped its windows.
+	alternateTime = maxReportAge
 	// maxTickGap is the time between two ticks from which on the process counts as having
 	// been suspended.
 	maxTickGap = 250 * time.Millisecond
@@ -40,8 +44,8 @@
 
 // Seen is what an instance's copy of the store shows.
 type Seen struct {
-	Held bool // there is a holder
-	Rank int  // of the instance among the candidates, from 0; -1 if it is none
+	Holder string // ID of the holder, empty if there is none
+	Rank   int    // of the instance among the candidates, from 0; -1 if it is none
 }
 
 // dutyState is the state of a Duty.
@@ -63,6 +67,10 @@
 	data  []byte // self, as stored
 	event func(kind, detail string)
 
+	began      time.Time // of the process
+	lostAt     time.Time // zero if the process never lost the duty
+	lastHolder string    // the last one that was seen
+
 	state     dutyState
 	busy      Action
 	startedAt time.Time // of the call in flight
@@ -78,16 +86,15 @@
 	unsureAt  time.Time // a renewal that began after it must succeed before the holder acts, zero if none
 }
 
-// NewDuty returns the duty of a process that starts at now. The process does not take the
-// duty within one lease: an earlier process of the same instance may have held it, and
-// another instance since. Event, if not nil, is called when the duty is taken or lost.
+// NewDuty returns the duty of a process that starts at now. Event, if not nil, is called when
+// the duty is taken or lost.
 func NewDuty(self Holder, lease time.Duration, now time.Time, event func(kind, detail string)) *Duty {
 	if event == nil {
 		event = func(string, string) {}
 	}
 	// Marshaling a struct of strings cannot fail.
 	b, _ := json.Marshal(self)
-	return &Duty{lease: lease, self: self, data: b, event: event, notBefore: now.Add(lease)}
+	return &Duty{lease: lease, self: self, data: b, event: event, began: now}
 }
 
 // Next returns the call to make now, None if there is none.
@@ -124,20 +131,37 @@
 		}
 		return Action{}
 	}
-	if s.Held || s.Rank < 0 {
-		d.vacant = time.Time{}
+	if s.Holder != "" {
+		d.lastHolder, d.vacant = s.Holder, time.Time{}
+		return Action{}
+	}
+	if s.Rank < 0 {
 		return Action{}
 	}
 	if d.vacant.IsZero() {
 		d.vacant = now
 	}
-	if now.Before(d.notBefore) || now.Sub(d.vacant) < time.Duration(s.Rank)*d.lease/staggerDivisor {
+	wait := time.Duration(s.Rank) * d.lease / staggerDivisor
+	if d.mayAlternate(now) {
+		wait += d.lease
+	}
+	if now.Before(d.notBefore) || now.Sub(d.vacant) < wait {
 		return Action{}
 	}
 	d.grantedAt = now
 	return Action{Kind: Grant, TTL: d.lease}
 }
 
+// mayAlternate reports whether the instance may have been the holder before the last one.
+// It then waits for a lease after that one's key has gone: the last one may have called the
+// platform for the first time just before, so that the holder would change back at once.
+func (d *Duty) mayAlternate(now time.Time) bool {
+	if !d.lostAt.IsZero() && now.Sub(d.lostAt) < alternateTime {
+		return true
+	}
+	return now.Sub(d.began) < alternateTime && d.lastHolder != d.self.ID
+}
+
 // Done handles the result of the call that Next returned.
 func (d *Duty) Done(now time.Time, r Result) {
 	a := d.busy
@@ -233,7 +257,7 @@
 func (d *Duty) lose(now time.Time, reason string) {
 	d.state = idle
 	d.vacant = time.Time{}
-	d.notBefore = now.Add(retakeLeases * d.lease)
+	d.notBefore, d.lostAt = now.Add(retakeLeases*d.lease), now
 	d.event("usageDutyLost", reason)
 }
 
--- a/cowslipusage/reporter.go
+++ b/cowslipusage/reporter.go
@@ -30,6 +30,10 @@
 	// settleTime is how long after a change of the holder the counts of all instances are
 	// known: they learn of it within about a second and send all windows at once.
 	settleTime = 2 * time.Second
+	// firstTime is how long after taking the duty a holder without sums decides which window
+	// is the first. After a start of all instances, their counts wait for the correction
+	// of their time, which they get from the holder once settleTime is over.
+	firstTime = 2 * settleTime
 	// sumsLag is how long after the end of a window all its counts are in the sums.
 	sumsLag = 2500 * time.Millisecond
 	// reportTTL is how long reports and sums stay in the store. One lease serves for all of
@@ -42,8 +46,6 @@
 	maxRetry = 4 * time.Second
 	// storeRetry is the delay after a call to the store that failed.
 	storeRetry = 500 * time.Millisecond
-	// maxRejections is how often a report that the platform rejects is sent.
-	maxRejections = 3
 )
 
 // ReporterOptions configure a Reporter. Event may be nil.
@@ -58,13 +60,12 @@
 
 // report is a window whose counts are no longer open.
 type report struct {
-	window     int64
-	body       []byte
-	stored     bool // body is what the store has
-	unsure     bool // the store may have it, or another one
-	retry      time.Duration
-	at         time.Time // of the next attempt
-	rejections int
+	window int64
+	body   []byte
+	stored bool // body is what the store has
+	unsure bool // the store may have it, or another one
+	retry  time.Duration
+	at     time.Time // of the next attempt
 }
 
 // ReporterCounts count what a Reporter did.
@@ -168,7 +169,7 @@
 func (r *Reporter) closeWindows(now, wall time.Time) {
 	first := WindowAt(wall.Add(-maxReportAge), r.o.Window)
 	if !r.hasNext {
-		if !r.Settled(now) {
+		if now.Sub(r.began) < firstTime {
 			return
 		}
 		r.next, r.hasNext = WindowAt(r.began.Add(wall.Sub(now)), r.o.Window), true
@@ -363,14 +364,8 @@
 	r.counts.Failed++
 	p.retry = min(max(2*p.retry, minRetry), maxRetry)
 	p.at = now.Add(p.retry)
-	switch {
-	case errors.Is(err, ErrTooManyCalls):
+	if errors.Is(err, ErrTooManyCalls) {
 		r.sendAt = p.at
-	case errors.Is(err, ErrRejected):
-		if p.rejections++; p.rejections >= maxRejections {
-			r.remove(window)
-			r.drop(window, window, err.Error())
-		}
 	}
 }
 
--- a/cowslipusage/sums.go
+++ b/cowslipusage/sums.go
@@ -77,7 +77,9 @@
 // Encode returns the sums as compressed JSON.
 func (s Sums) Encode() ([]byte, error) {
 	var b bytes.Buffer
-	z := gzip.NewWriter(&b)
+	// The fastest level: the holder may have a fraction of a core. The level is valid, so
+	// that there is no error.
+	z, _ := gzip.NewWriterLevel(&b, gzip.BestSpeed)
 	if err := json.NewEncoder(z).Encode(s); err != nil {
 		return nil, errors.Annotate(err, "cowslipusage: encode sums")
 	}
