--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -76,6 +76,7 @@
 	StoreCodec StoreCodec
 	Wire       Wire
 	Bounds     Bounds
+	Usage      *UsageOptions // nil if usage is not reported; needs Edge
 
 	// ScarceTargets says that callers compete for targets with too little capacity for all of
 	// them. What targets take is then learned whether or not they state a slowdown.
@@ -143,6 +144,7 @@
 	activeRelays  atomic.Int64 // requests in flight that are served for other instances
 	storeLost     atomic.Bool
 	lag           lag
+	usage         *usage                   // nil if usage is not reported
 	settings      atomic.Pointer[settings] // nil until UpdateSettings is called
 	isolatedSince atomic.Int64             // Unix time in nanoseconds, 0 while not isolated
 }
@@ -197,6 +199,9 @@
 	}, e.clock.Now())
 	e.metrics.vars.Set("learnedTargets", expvar.Func(func() any { return e.learner.table.Status(e.clock.Now()) }))
 	e.metrics.vars.Set("state", expvar.Func(func() any { return e.state() }))
+	if o.Usage != nil && o.Edge != nil {
+		e.usage = newUsage(e, *o.Usage)
+	}
 	e.recorder = &cowsliprecord.Recorder{Entry: o.ID, Store: o.Store, Clock: e.clock, Background: e.runInBackground}
 	return e, nil
 }
@@ -224,6 +229,10 @@
 		})
 	}
 	s := &cowslippeer.Server{OnExchange: e.onExchange, OnEvents: e.onEvents, OnFollow: e.onFollow, OnRelay: e.onRelay, OnLearn: e.onLearn, OnWarn: e.onWarn}
+	if e.usage != nil {
+		s.OnUsage = e.usage.onReport
+		w.Go(e.usage.run)
+	}
 	peers := boundedListener{e.opts.Peers, maxPeerRequestBytes, cowsliptarget.NewBuffers(e.opts.Memory / peerMemoryDivisor)}
 	start(func() error { return s.Serve(e.ctx, peers) })
 	start(callers.Serve)
@@ -265,14 +274,6 @@
 	return []func(){e.watchLoop, e.listLoop, e.leaseLoop, func() { e.exchangeLoop(e.peerAddrs) }, e.probeLoop}
 }
 
-// sweepLoop periodically closes connections to targets that have been idle for too
-// long.
-func (e *Entry) sweepLoop() {
-	for e.sleep(e.ctx, connSweepInterval) {
-		e.forwarder.Sweep(e.clock.Now())
-	}
-}
-
 // Ready reports whether callers should send requests to this instance: it has a
 // configuration, is not isolated and is not shutting down. It is safe for
 // concurrent use.
@@ -395,15 +396,3 @@
 func (e *Entry) runInBackground(task func(context.Context)) {
 	e.background.Go(func() { task(e.ctx) })
 }
-
-// onDisconnect suspends a target after a connection to it has ended: it receives no
-// requests until it sends a new report, since it may have restarted and be cold.
-func (e *Entry) onDisconnect(addr string) {
-	v := e.view.Load()
-	if v == nil {
-		return
-	}
-	if t := v.Target(addr); t != nil {
-		t.Suspend()
-	}
-}
