--- a/cowslipentry/usagestatus.go
+++ b/cowslipentry/usagestatus.go
@@ -13,9 +13,6 @@
 	"cowslipflow/cowslipusage"
 )
 
-// maxWorkspaceMetrics limits the workspaces that a metric names; the others are summed.
-const maxWorkspaceMetrics = 32
-
 // InstanceStatus is the answer to GET /v1/status.
 type InstanceStatus struct {
 	cowslipcontrol.Status
@@ -99,7 +96,7 @@
 }
 
 // busiest returns the counts of the workspaces with the most requests, and the sum of the
-// others as "(others)", which is not the name of a workspace.
+// others as otherWorkspaces, which is not the name of a workspace.
 func busiest(l cowslipusage.Counts) cowslipusage.Counts {
 	if len(l) <= maxWorkspaceMetrics {
 		return l
@@ -114,7 +111,7 @@
 	m := cowslipusage.Counts{}
 	for i, w := range names {
 		if i >= maxWorkspaceMetrics {
-			w = "(others)"
+			w = otherWorkspaces
 		}
 		m[w] += l[names[i]]
 	}
