Guard: targets that end by themselves cause no alert

When many targets end at once, harmless wide requests are in flight at several of them. A calm guard now waits 30 ms for an answer of another target, in which nothing more of the request is sent, and needs two crashes under one sending.

--- a/cowslipentry/forward.go
+++ b/cowslipentry/forward.go
@@ -306,6 +306,9 @@
 		return f.handleCrash(x.attempt)
 	}
 	f.attempts[x.attempt] = x
+	if x.outcome == cowsliptarget.OK {
+		f.guard.answered.Store(true)
+	}
 	f.checkLoss(x)
 	return f.dispatch.AttemptEnded(f.clock.Now(), x.attempt, x.outcome, false)
 }
--- a/cowslipentry/forwardprobe.go
+++ b/cowslipentry/forwardprobe.go
@@ -23,11 +23,25 @@
 // forwardGuard is the part of a wide request's state that guards targets against crashes. The
 // zero value is that of a request to a single service.
 type forwardGuard struct {
-	guard  *cowslipguard.Guard // of the services asked; nil for a single one
-	checks int                 // targets that were checked for a crash
-	warned atomic.Bool         // other instances were warned of the request
+	guard    *cowslipguard.Guard // of the services asked; nil for a single one
+	checks   int                 // targets that were checked for a crash
+	crashes  atomic.Int64        // targets that have crashed with no answer of another one
+	answered atomic.Bool         // a target has answered
+	warned   atomic.Bool         // other instances were warned of the request
 }
 
+const (
+	// explanationWait is how long an answer of another target may take to show that a request did
+	// not crash the first one. When many targets end at once, as with a failure domain, requests
+	// that were just sent have no answer yet; taken for crashing ones, they would put all wide
+	// requests under the guard. Meanwhile nothing more of the request is sent.
+	explanationWait = 30 * time.Millisecond
+	// minAlertCrashes is how many targets must crash under one sending, if it asks as many, to put
+	// a calm guard on alert. A request that crashes targets ends most that it reaches, while one
+	// may end by itself with any request in flight.
+	minAlertCrashes = 2
+)
+
 // planProbes sets in the options how a wide request is sent while some crash targets. It refuses
 // one that must not be sent now.
 func (f *forward) planProbes(o *cowslipquery.DispatchOptions) (Reply, bool) {
@@ -67,10 +81,18 @@
 		return
 	}
 	f.guard.checks++
-	excused := f.dispatch.Answered() || f.answers.has(f.clock.Now(), f.fingerprint)
+	excused := f.answers.has(f.clock.Now(), f.fingerprint)
+	broken := f.clock.Now()
 	f.runInBackground(func(ctx context.Context) {
-		if f.refusesSoon(ctx, x.target.Info().Addr) {
-			f.sendResult(forwardResult{attempt: x.attempt, crashed: true})
+		if !f.refusesSoon(ctx, x.target.Info().Addr) {
+			return
+		}
+		alert := f.guard.guard.Alert(f.clock.Now())
+		if !alert && !f.sleep(ctx, explanationWait-f.clock.Since(broken)) || f.guard.answered.Load() {
+			return
+		}
+		f.sendResult(forwardResult{attempt: x.attempt, crashed: true})
+		if n := f.guard.crashes.Add(1); alert || n >= int64(min(minAlertCrashes, len(f.services))) {
 			f.recordLoss(x.target.Info().Service, excused)
 		}
 	})
@@ -130,8 +152,8 @@
 
 // guardCrash tells the guard of the services of a crash under a wide request.
 func (e *Entry) guardCrash(s cowslipcontrol.SharedCrash, age time.Duration) {
-	if s.Wide && age < cowslipguard.AlertTime {
-		e.guardLoss(e.wide.guards.Of(s.Service), cowslipguard.Loss{Age: age, Request: s.Copies, Excused: s.Answered || s.Partial}, s.Service, s.Incident)
+	if s.Wide && !s.Partial && age < cowslipguard.AlertTime {
+		e.guardLoss(e.wide.guards.Of(s.Service), cowslipguard.Loss{Age: age, Request: s.Copies, Excused: s.Answered}, s.Service, s.Incident)
 	}
 }
 
