Callers' memory: one account for each port, in place of boundedListener

Heads without end, idle connections and unfinished requests of clients were bounded one by one and not in sum, and there was no write deadline. Each port (callers, readiness, operators, peers) now has an account with a share of limits.memoryMb and limits.maxFds. The servers tell when a request runs; until then its connection may be closed.

--- a/cowslipconn/account.go
+++ b/cowslipconn/account.go
@@ -12,13 +12,10 @@
 	// defaultBase is the charge of a connection that has sent nothing. An idle connection of
 	// net/http was measured to take 7 KiB, one whose body is being read 21 KiB.
 	defaultBase = 16 << 10
-	// connDivisor limits what one connection holds without a request in progress to 1/4 of
-	// the bound.
+	// connDivisor limits what one connection holds before its request is in progress to 1/4
+	// of the bound, and what it may hold when the request begins to 1/4 of what those in
+	// progress leave free, without the slack. So any number of large requests leaves room for small ones.
 	connDivisor = 4
-	// requestDivisor limits what a request may hold when it begins to 1/8 of what the
-	// requests in progress leave free, so that any number of large ones leaves room for
-	// small ones.
-	requestDivisor = 8
 	// slackDivisor is the part of the bound that is freed at once when it is reached, so that
 	// the connections are not searched for each new one.
 	slackDivisor = 16
@@ -89,7 +86,7 @@
 	k.charges[c] = struct{}{}
 	a.conns++
 	a.add(c, a.base())
-	l := a.makeRoom(now, c)
+	l := a.makeRoom(now, c, nil)
 	if a.exceeds(0) {
 		a.remove(c)
 		return nil, l
@@ -118,7 +115,7 @@
 		a.remove(c)
 		return false, nil
 	}
-	l := a.makeRoom(now, nil)
+	l := a.makeRoom(now, nil, c)
 	if !c.closed && a.exceeds(0) {
 		a.remove(c)
 	}
@@ -153,7 +150,7 @@
 // full reports whether the requests in progress leave too little for another one.
 func (a *Account) full(c *Charge) bool {
 	l := a.limits
-	return l.Bytes > 0 && c.held > (l.Bytes-a.runningHeld)/requestDivisor || l.Conns > 0 && a.runningConns >= l.Conns-l.Conns/slackDivisor
+	return l.Bytes > 0 && c.held > (l.Bytes-l.Bytes/slackDivisor-a.runningHeld)/connDivisor || l.Conns > 0 && a.runningConns >= l.Conns-l.Conns/slackDivisor
 }
 
 // End ends a request that Begin admitted. What it held is released.
@@ -161,10 +158,22 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.setBusy(c, -1, 0)
-	if c.running == 0 && !c.closed {
-		a.add(c, -c.read)
-		c.read, c.served, c.since = 0, true, now
+	a.release(now, c)
+}
+
+// Refused ends a request that was answered without Begin. What it held is released.
+func (a *Account) Refused(now time.Time, c *Charge) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.release(now, c)
+}
+
+func (a *Account) release(now time.Time, c *Charge) {
+	if c.running > 0 || c.closed {
+		return
 	}
+	a.add(c, -c.read)
+	c.read, c.served, c.since = 0, true, now
 }
 
 // Write charges n bytes that wait to be written and keeps the connection open until Written.
@@ -176,7 +185,7 @@
 		return nil
 	}
 	a.add(c, n)
-	return a.makeRoom(now, nil)
+	return a.makeRoom(now, nil, nil)
 }
 
 // Written ends a Write.
@@ -249,8 +258,9 @@
 }
 
 // makeRoom takes connections out of the account if it exceeds its limits, and returns them.
-// It takes those of the address that holds the most first, and never keep.
-func (a *Account) makeRoom(now time.Time, keep *Charge) []io.Closer {
+// It takes those of the address that holds the most first, never keep, and last only if the
+// account exceeds its limits without a slack.
+func (a *Account) makeRoom(now time.Time, keep, last *Charge) []io.Closer {
 	if !a.exceeds(0) {
 		return nil
 	}
@@ -277,6 +287,9 @@
 		}
 		l := candidates[most]
 		c := l[len(l)-1]
+		if c == last && !a.exceeds(0) {
+			break
+		}
 		if candidates[most] = l[:len(l)-1]; len(l) == 1 {
 			delete(candidates, most)
 		}
--- a/cowslipconn/account_test.go
+++ b/cowslipconn/account_test.go
@@ -83,6 +83,19 @@
 				l.open(fmt.Sprint(i), "a")
 			}
 		}, []string{"large"}},
+		{"one that holds much before those of another address", cowslipconn.Limits{Bytes: 1600, Base: 100}, func(l *ledger) {
+			for i := range 12 {
+				l.open(fmt.Sprint(i), fmt.Sprint("address", i))
+			}
+			l.wait(time.Minute)
+			l.open("large", "a")
+			l.read("large", 200)
+			l.wait(time.Second)
+			l.read("large", 90)
+			l.wait(time.Second)
+			l.open("new", "b")
+			l.open("new too", "c")
+		}, []string{"large"}},
 		{"number", cowslipconn.Limits{Conns: 16, Base: 100}, func(l *ledger) {
 			for i := range 17 {
 				l.open(fmt.Sprint(i), "a")
--- a/cowslipconn/conn.go
+++ b/cowslipconn/conn.go
@@ -42,6 +42,7 @@
 
 	mu         sync.Mutex
 	running    bool
+	inBody     bool      // the rest of the request is counted elsewhere
 	unanswered int64     // bytes of the request that is being read
 	blank      bool      // all of them belong to empty lines
 	began      time.Time // when the first of them arrived, zero if none did
@@ -50,33 +51,45 @@
 	writeBy    time.Time
 }
 
+// BodyFollows tells that the head of a request was read, and that its body is counted
+// elsewhere. Until Begin is called, the connection may still be closed.
+func (c *Conn) BodyFollows() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inBody, c.unanswered, c.began = true, 0, time.Time{}
+}
+
 // Begin decides whether a request that was read may run. If it may, the connection stays open
 // until End.
 func (c *Conn) Begin() Decision {
 	d := c.options.Account.Begin(c.charge)
 	if d == Admitted {
 		c.mu.Lock()
-		c.running, c.unanswered, c.began = true, 0, time.Time{}
+		c.running, c.inBody, c.unanswered, c.began = true, false, 0, time.Time{}
 		c.mu.Unlock()
 	}
 	return d
 }
 
-// End ends the request that Begin admitted. It has no effect if there is none.
+// End ends a request that was answered, whether Begin admitted it or it was refused after
+// BodyFollows. Otherwise it has no effect.
 func (c *Conn) End() {
 	c.mu.Lock()
-	was := c.running
-	c.running = false
+	running, inBody := c.running, c.inBody
+	c.running, c.inBody = false, false
 	c.mu.Unlock()
-	if was {
-		c.options.Account.End(c.options.Clock.Now(), c.charge)
+	switch now := c.options.Clock.Now(); {
+	case running:
+		c.options.Account.End(now, c.charge)
+	case inBody:
+		c.options.Account.Refused(now, c.charge)
 	}
 }
 
 // Read reads from the connection. It closes the connection and returns ErrLimit if a limit
 // is exceeded.
 func (c *Conn) Read(b []byte) (int, error) {
-	limited, err := c.arm()
+	by, err := c.arm()
 	if err != nil {
 		return 0, err
 	}
@@ -87,36 +100,36 @@
 			return 0, ErrLimit
 		}
 	}
-	if limited && errors.Is(err, os.ErrDeadlineExceeded) {
+	if !by.IsZero() && errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(by) {
 		c.closeFor(ReasonSlow)
 	}
 	return n, err
 }
 
-// arm sets the read deadline. It reports whether that of the request comes before the
-// server's.
-func (c *Conn) arm() (bool, error) {
+// arm sets the read deadline. It returns that of the request if it comes before the server's,
+// otherwise zero.
+func (c *Conn) arm() (time.Time, error) {
 	if c.options.RequestTime == 0 {
-		return false, nil
+		return time.Time{}, nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	by := c.began.Add(c.options.RequestTime)
 	if c.running || c.began.IsZero() || !c.readBy.IsZero() && c.readBy.Before(by) {
 		if !c.armed {
-			return false, nil
+			return time.Time{}, nil
 		}
 		c.armed = false
-		return false, c.Conn.SetReadDeadline(c.readBy)
+		return time.Time{}, c.Conn.SetReadDeadline(c.readBy)
 	}
 	c.armed = true
-	return true, c.Conn.SetReadDeadline(by)
+	return by, c.Conn.SetReadDeadline(by)
 }
 
 // count charges bytes that were read. It returns the reason to close the connection, if any.
 func (c *Conn) count(b []byte) Reason {
 	c.mu.Lock()
-	if c.running {
+	if c.running || c.inBody {
 		c.mu.Unlock()
 		return ""
 	}
@@ -255,7 +268,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readBy = t
-	if by := c.began.Add(c.options.RequestTime); c.armed && (t.IsZero() || by.Before(t)) {
+	if by := c.began.Add(c.options.RequestTime); c.armed && !c.began.IsZero() && (t.IsZero() || by.Before(t)) {
 		return nil
 	}
 	c.armed = false
--- a/cowslipconn/listener_test.go
+++ b/cowslipconn/listener_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -120,6 +121,66 @@
 	require.Empty(t, k.list())
 }
 
+// Guards against a body that is counted twice, and against a connection that is no longer
+// counted after a request was refused while its body was read.
+func TestBodyIsCountedElsewhere(t *testing.T) {
+	a := cowslipconn.NewAccount(cowslipconn.Limits{Bytes: 10_000, Base: 100})
+	l, _ := newListener(t, cowslipconn.Options{Account: a})
+	client, server := connect(t, l)
+	b := make([]byte, 4096)
+	for range 2 {
+		_, err := io.WriteString(client, "POST")
+		require.NoError(t, err)
+		_, err = io.ReadFull(server, b[:4])
+		require.NoError(t, err)
+		server.BodyFollows()
+		_, err = io.WriteString(client, strings.Repeat("d", 4000))
+		require.NoError(t, err)
+		_, err = io.ReadFull(server, b[:4000])
+		require.NoError(t, err)
+		require.Equal(t, cowslipconn.Usage{Bytes: 104, Conns: 1}, a.Usage(), "it is not busy until all of it was read")
+		server.End()
+		require.Equal(t, cowslipconn.Usage{Bytes: 100, Conns: 1}, a.Usage())
+	}
+	_, err := io.WriteString(client, strings.Repeat("d", 4000))
+	require.NoError(t, err)
+	require.ErrorIs(t, readAll(server), cowslipconn.ErrLimit)
+	require.Equal(t, cowslipconn.Usage{}, a.Usage())
+}
+
+// Guards against a server that cannot end a read of its own: it waits for the next bytes while
+// a request runs, to learn of a client that leaves, and ends that read by a deadline that has
+// passed. The read began before the request was admitted.
+func TestServerEndsItsRead(t *testing.T) {
+	l, k := newListener(t, cowslipconn.Options{RequestTime: time.Minute})
+	client, server := connect(t, l)
+	_, err := io.WriteString(client, "GET")
+	require.NoError(t, err)
+	_, err = server.Read(make([]byte, 3))
+	require.NoError(t, err)
+	ended := make(chan error)
+	go func() {
+		_, err := server.Read(make([]byte, 1))
+		ended <- err
+	}()
+	time.Sleep(50 * time.Millisecond) // until it waits
+	require.Equal(t, cowslipconn.Admitted, server.Begin())
+	require.NoError(t, server.SetReadDeadline(time.Unix(1, 0)))
+	select {
+	case err := <-ended:
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the read does not end")
+	}
+	server.End()
+	require.NoError(t, server.SetReadDeadline(time.Time{}))
+	_, err = io.WriteString(client, "GET")
+	require.NoError(t, err)
+	_, err = server.Read(make([]byte, 3))
+	require.NoError(t, err)
+	require.Empty(t, k.list())
+}
+
 // Guards against an answer that is held for as long as its client does not read, and against
 // the limit cutting a client that reads slowly.
 func TestUnreadAnswers(t *testing.T) {
--- a/cowslipentry/caller.go
+++ b/cowslipentry/caller.go
@@ -52,7 +52,7 @@
 }
 
 func (e *Entry) callerServer() *server.Hertz {
-	h := e.newServer(e.opts.Callers, e.opts.CallersTLS)
+	h := e.newServer(PortCallers, e.opts.Callers, e.opts.CallersTLS)
 	h.GET("/v1/ready", e.handleReady)
 	h.POST("/v1/query", e.handleQuery)
 	h.POST("/v1/record", e.handleRecord)
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -50,6 +50,7 @@
 	FailureDomain  string
 	Capacity       float64      // processor cores of the instance, 0 if unknown
 	Memory         int64        // memory of the instance in bytes, 0 if unknown
+	MaxFDs         int          // descriptors that the process may open; 0 means the kernel's limit
 	Callers        net.Listener // for HTTP from callers
 	Operators      net.Listener // for HTTP from operators
 	Peers          net.Listener // for drpc from other entry instances
@@ -214,7 +215,7 @@
 		})
 	}
 	s := &cowslippeer.Server{OnExchange: e.onExchange, OnEvents: e.onEvents, OnFollow: e.onFollow, OnRelay: e.onRelay}
-	peers := boundedListener{e.opts.Peers, maxPeerRequestBytes, cowsliptarget.NewBuffers(e.opts.Memory / peerMemoryDivisor)}
+	peers := e.LimitConns(PortPeers, e.opts.Peers, false)
 	start(func() error { return s.Serve(e.ctx, peers) })
 	start(callers.Serve)
 	start(operators.Run)
--- a/cowslipentry/http.go
+++ b/cowslipentry/http.go
@@ -8,8 +8,6 @@
 	"net"
 	"strconv"
 
-	"cowslipflow/cowsliptarget"
-
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
@@ -25,9 +23,10 @@
 
 func init() { hlog.SetLevel(hlog.LevelFatal) }
 
-func (e *Entry) newServer(l net.Listener, t *tls.Config) *server.Hertz {
+func (e *Entry) newServer(p Port, l net.Listener, t *tls.Config) *server.Hertz {
 	o := []config.Option{
-		server.WithListener(boundedListener{l, maxRequestBytes, cowsliptarget.NewBuffers(e.opts.Memory / requestMemoryDivisor)}),
+		server.WithListener(e.LimitConns(p, l, t != nil)),
+		server.WithOnAccept(withConn),
 		server.WithMaxHeaderBytes(maxHeaderBytes),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(maxBodyBytes),
@@ -39,7 +38,9 @@
 	} else {
 		o = append(o, server.WithSenseClientDisconnection(true))
 	}
-	return server.New(o...)
+	h := server.New(o...)
+	h.Use(limitRequest)
+	return h
 }
 
 func stopServer(h *server.Hertz) {
--- a/cowslipentry/metrics.go
+++ b/cowslipentry/metrics.go
@@ -41,6 +41,9 @@
 	relayed      *expvar.Int // requests that a relay answered for this instance
 	relaysFailed *expvar.Int // requests offered to a relay that did not accept them or did not answer
 
+	conns       *expvar.Map // what connections hold, by port
+	connsClosed *expvar.Map // connections that limits closed, by port and reason
+
 	routes routeTable
 
 	mu      sync.Mutex
@@ -65,6 +68,9 @@
 	m.storeCalls = n("storeCalls")
 	m.samplesLost, m.poolFull = n("samplesLost"), n("poolFull")
 	m.relayed, m.relaysFailed = n("relayed"), n("relaysFailed")
+	m.conns, m.connsClosed = new(expvar.Map).Init(), new(expvar.Map).Init()
+	m.vars.Set("conns", m.conns)
+	m.vars.Set("connsClosed", m.connsClosed)
 	m.vars.Set("queryLatencyMicros", expvar.Func(m.quantiles))
 	m.vars.Set("routes", expvar.Func(func() any { return m.routes.snapshot() }))
 	return m
--- a/cowslipentry/operator.go
+++ b/cowslipentry/operator.go
@@ -34,7 +34,7 @@
 }
 
 func (e *Entry) operatorServer() *server.Hertz {
-	h := e.newServer(e.opts.Operators, e.opts.OperatorsTLS)
+	h := e.newServer(PortOperators, e.opts.Operators, e.opts.OperatorsTLS)
 	h.GET("/v1/ready", e.handleReady)
 	g := h.Group("/", e.authorize)
 	g.GET("/v1/config", e.handleConfig)
--- a/cowslippeer/server.go
+++ b/cowslippeer/server.go
@@ -24,33 +24,41 @@
 	OnLearn    func(context.Context, *cowslipmessage.TargetEstimates) (*cowslipmessage.TargetEstimates, error)
 }
 
-// errUnsupported is the error of a call whose function is not set.
-const errUnsupported = errors.ConstError("cowslippeer: call not supported")
+const (
+	// errUnsupported is the error of a call whose function is not set.
+	errUnsupported = errors.ConstError("cowslippeer: call not supported")
+	// errFull means that the connections of peers hold too much memory for a call.
+	errFull = errors.ConstError("cowslippeer: connections hold too much memory")
+)
 
 // Exchange implements the Exchange method of the protocol by calling OnExchange.
 func (s *Server) Exchange(ctx context.Context, m *cowslipmessage.State) (*cowslipmessage.State, error) {
-	return s.OnExchange(ctx, m)
+	return serve(ctx, m, s.OnExchange)
 }
 
 // Events implements the Events method of the protocol by calling OnEvents.
 func (s *Server) Events(ctx context.Context, r *cowslipmessage.EventsRequest) (*cowslipmessage.EventsReply, error) {
-	return s.OnEvents(ctx, r)
+	return serve(ctx, r, s.OnEvents)
 }
 
 // Follow implements the Follow method of the protocol by calling OnFollow.
 func (s *Server) Follow(ctx context.Context, r *cowslipmessage.FollowRequest) (*cowslipmessage.FollowReply, error) {
-	return s.OnFollow(ctx, r)
+	return serve(ctx, r, s.OnFollow)
 }
 
 // Relay implements the Relay method of the protocol by calling OnRelay.
-func (s *Server) Relay(x cowslipmessage.DRPCPeer_RelayStream) error { return s.OnRelay(x) }
+func (s *Server) Relay(x cowslipmessage.DRPCPeer_RelayStream) error {
+	l := &limitedStream{DRPCPeer_RelayStream: x}
+	defer l.end()
+	return s.OnRelay(l)
+}
 
 // Usage implements the Usage method of the protocol by calling OnUsage.
 func (s *Server) Usage(ctx context.Context, r *cowslipmessage.UsageReport) (*cowslipmessage.UsageReply, error) {
 	if s.OnUsage == nil {
 		return nil, errUnsupported
 	}
-	return s.OnUsage(ctx, r)
+	return serve(ctx, r, s.OnUsage)
 }
 
 // Warn implements the Warn method of the protocol by calling OnWarn.
@@ -58,7 +66,7 @@
 	if s.OnWarn == nil {
 		return nil, errUnsupported
 	}
-	return s.OnWarn(ctx, w)
+	return serve(ctx, w, s.OnWarn)
 }
 
 // Learn implements the Learn method of the protocol by calling OnLearn.
@@ -66,7 +74,7 @@
 	if s.OnLearn == nil {
 		return nil, errUnsupported
 	}
-	return s.OnLearn(ctx, m)
+	return serve(ctx, m, s.OnLearn)
 }
 
 // Serve accepts connections until ctx ends, then closes l.
