Callers' memory: count answers of the own interface that wait to be written

The buffers of messages count answers on the users' platform, but not those of the product's own callers' interface. They now count in the account of that port. Passed: ./cowslipconn ./cowslippeer ./cowslipentry with -race (96 s).

--- a/cowslipentry/connlimits.go
+++ b/cowslipentry/connlimits.go
@@ -88,7 +88,7 @@
 		o.MaxRequest, o.RequestTime, o.ChargeWrites = maxRequestBytes, requestTime, true
 	}
 	if e.opts.Edge == nil && p == PortCallers {
-		o.MaxRequest, o.RequestTime = maxRequestBytes, requestTime
+		o.MaxRequest, o.RequestTime, o.ChargeWrites = maxRequestBytes, requestTime, true
 	}
 	if p != PortPeers && !encrypted {
 		o.MaxBlank = maxBlankBytes
