--- a/cowslipentry/connlimits.go
+++ b/cowslipentry/connlimits.go
@@ -56,7 +56,7 @@
 	perByte, perLine int64 // bytes for each byte and each line that is read
 }
 
-// portShares sum up to 9/32 of the memory and 20/32 of the descriptors, the rest of which is
+// portShares sum up to 8/32 of the memory and 20/32 of the descriptors, the rest of which is
 // for connections to targets. Once parsed, a head took 1.5 times its bytes with one long
 // field, and 83 bytes more for each of thousands of short ones.
 var portShares = map[Port]portShare{
