--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -51,6 +51,7 @@
 	FailureDomain  string
 	Capacity       float64      // processor cores of the instance, 0 if unknown
 	Memory         int64        // memory of the instance in bytes, 0 if unknown
+	MaxFDs         int          // descriptors that the process may open; 0 means the kernel's limit
 	Callers        net.Listener // for HTTP from callers
 	Operators      net.Listener // for HTTP from operators
 	Peers          net.Listener // for drpc from other entry instances
@@ -233,7 +234,7 @@
 		s.OnUsage = e.usage.onReport
 		w.Go(e.usage.run)
 	}
-	peers := boundedListener{e.opts.Peers, maxPeerRequestBytes, cowsliptarget.NewBuffers(e.opts.Memory / peerMemoryDivisor)}
+	peers := e.LimitConns(PortPeers, e.opts.Peers, false)
 	start(func() error { return s.Serve(e.ctx, peers) })
 	start(callers.Serve)
 	start(operators.Run)
--- a/cowslipentry/metrics.go
+++ b/cowslipentry/metrics.go
@@ -49,6 +49,9 @@
 
 	unauthorized *expvar.Int // requests without a key that is in force
 
+	conns       *expvar.Map // what connections hold, by port
+	connsClosed *expvar.Map // connections that limits closed, by port and reason
+
 	routes     routeTable
 	workspaces workspaceTable
 
@@ -77,6 +80,9 @@
 	m.samplesLost, m.poolFull = n("samplesLost"), n("poolFull")
 	m.reportsRejected = n("loadReportsRejected")
 	m.relayed, m.relaysFailed = n("relayed"), n("relaysFailed")
+	m.conns, m.connsClosed = new(expvar.Map).Init(), new(expvar.Map).Init()
+	m.vars.Set("conns", m.conns)
+	m.vars.Set("connsClosed", m.connsClosed)
 	m.vars.Set("queryLatencyMicros", expvar.Func(m.quantiles))
 	m.unauthorized = n("unauthorized")
 	m.vars.Set("workspaces", expvar.Func(func() any { return m.workspaces.snapshot() }))
