Forwarded routes: refuse what targets cannot take before it is sent

A request under overload was sent in parts, and refused half a second later when targets had shed them. The instance that sends to targets now asks the pool of the request's services first, and tells it the load reports, sheds, late answers and waiting parts. The pool is in use once a target of it has stated a slowdown; others are admitted as before. Pools are in /debug/vars (admission), in status and in the log (poolLimited, poolUnlimited).

--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"expvar"
 	"log/slog"
 	"net"
 	"sync"
@@ -137,6 +136,7 @@
 	activeRelays  atomic.Int64 // requests in flight that are served for other instances
 	storeLost     atomic.Bool
 	lag           lag
+	admissions    admissions
 	settings      atomic.Pointer[settings] // nil until UpdateSettings is called
 	isolatedSince atomic.Int64             // Unix time in nanoseconds, 0 while not isolated
 }
@@ -189,7 +189,7 @@
 		NoRamp: o.Baseline.NoRamp, NoPool: o.Baseline.NoPool, NoAdmission: o.Baseline.NoAdmission, RoundRobin: o.Baseline.RoundRobin, Event: e.event,
 		ListOnly: o.Edge != nil, Bounds: o.Bounds.controlBounds(), AnsweredSince: e.answers.hasSince,
 	}, e.clock.Now())
-	e.metrics.vars.Set("state", expvar.Func(func() any { return e.state() }))
+	e.publishState()
 	e.recorder = &cowsliprecord.Recorder{Entry: o.ID, Store: o.Store, Clock: e.clock, Background: e.runInBackground}
 	return e, nil
 }
@@ -385,10 +385,6 @@
 	}
 }
 
-func (e *Entry) runInBackground(task func(context.Context)) {
-	e.background.Go(func() { task(e.ctx) })
-}
-
 // onDisconnect suspends a target after a connection to it has ended: it receives no
 // requests until it sends a new report, since it may have restarted and be cold.
 func (e *Entry) onDisconnect(addr string) {
--- a/cowslipentry/forward.go
+++ b/cowslipentry/forward.go
@@ -70,6 +70,9 @@
 	suspicion   cowsliproute.Suspicion
 	trial       *cowslipcontrol.SharedHold // as the store shows it; nil if the request is not sent as a trial
 
+	admission *admissionPool // that admitted the request; nil if none did
+	cost      float64        // of the request in that pool
+
 	relayedBy string // ID of the instance that served the request for this one, empty if none did
 
 	partialAt time.Time // for gather routes: from then on, the answer closes as soon as it has minParts parts
@@ -113,6 +116,7 @@
 	f.suspicion = f.sendingSuspicion()
 	x := f.serve(ctx)
 	f.reportCrashes(x)
+	f.observeAdmitted(x)
 	f.releaseResponses()
 	f.observeReply(x)
 	return x
@@ -129,6 +133,9 @@
 	if x, ok := f.relay(ctx); ok {
 		return x
 	}
+	if x, ok := f.admit(); ok {
+		return x
+	}
 	defer f.releaseVersions()
 	for _, n := range f.services {
 		p, ok := f.dispatchPart(n)
--- a/cowslipentry/forwardlearn.go
+++ b/cowslipentry/forwardlearn.go
@@ -19,6 +19,7 @@
 	now := f.clock.Now()
 	t.RecordProgress(now)
 	r := x.info.Report
+	f.observeLoad(r)
 	if r.Leaving {
 		t.SetLeaving(true)
 	}
--- a/cowslipentry/loop.go
+++ b/cowslipentry/loop.go
@@ -111,6 +111,10 @@
 	}
 }
 
+func (e *Entry) runInBackground(task func(context.Context)) {
+	e.background.Go(func() { task(e.ctx) })
+}
+
 // startThrottled starts a task in the background unless one of the same name is
 // running or ended less than interval ago.
 func (e *Entry) startThrottled(name string, interval time.Duration, task func(context.Context)) {
--- a/cowslipentry/metrics.go
+++ b/cowslipentry/metrics.go
@@ -72,6 +72,12 @@
 	return m
 }
 
+// publishState adds the instance's state to its metrics.
+func (e *Entry) publishState() {
+	e.metrics.vars.Set("state", expvar.Func(func() any { return e.state() }))
+	e.metrics.vars.Set("admission", expvar.Func(func() any { return e.admissions.status(e.clock.Now()) }))
+}
+
 func (m *Metrics) observe(d time.Duration, complete bool) {
 	m.queries.Add(1)
 	if !complete {
--- a/cowslipentry/operator.go
+++ b/cowslipentry/operator.go
@@ -40,7 +40,9 @@
 	g.GET("/v1/config", e.handleConfig)
 	g.POST("/v1/config", e.handleApply)
 	g.GET("/v1/status", func(_ context.Context, c *app.RequestContext) {
-		sendReport(e, c, func(now time.Time, k *cowslipcontrol.Control) any { return k.Status(now) })
+		sendReport(e, c, func(now time.Time, k *cowslipcontrol.Control) any {
+			return StatusReport{k.Status(now), e.admissions.status(now)}
+		})
 	})
 	g.GET("/v1/moves", func(_ context.Context, c *app.RequestContext) {
 		sendReport(e, c, func(now time.Time, k *cowslipcontrol.Control) any { return k.Moves(now) })
--- a/operatorcommands.go
+++ b/operatorcommands.go
@@ -3,11 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
 
+	"cowslipflow/cowslipadmission"
 	"cowslipflow/cowslipconfig"
 	"cowslipflow/cowslipcontrol"
 	"cowslipflow/cowslipentry"
@@ -175,13 +178,13 @@
 
 // Execute prints the status of the configuration and of the services.
 func (c *statusCommand) Execute([]string) error {
-	return fetchAndPrint(c.operatorOptions, "/v1/status", func(s cowslipcontrol.Status) {
+	return fetchAndPrint(c.operatorOptions, "/v1/status", func(s cowslipentry.StatusReport) {
 		n := len(s.InForce) + len(s.NotConfirmed)
 		fmt.Printf("revision %d in force on %d of %d entry instances\n", s.Revision, len(s.InForce), n)
 		if len(s.NotConfirmed) > 0 {
 			fmt.Println("not confirmed on:", strings.Join(s.NotConfirmed, ", "))
 		}
-		fmt.Printf("answered by %s in failure domain %s, which may send requests to targets of: %s\n", s.ID, s.FailureDomain, scopeDescription(s))
+		fmt.Printf("answered by %s in failure domain %s, which may send requests to targets of: %s\n", s.ID, s.FailureDomain, scopeDescription(s.Status))
 		if s.PlatformDown {
 			fmt.Println("the platform does not answer; no edit can be accepted until it does")
 		}
@@ -190,6 +193,21 @@
 				fmt.Fprintf(w, "%s\t%d\t%.2f%%\t%d\t%d\t%d\t%d\t%s\n", x.Name, x.IndexVersion, 100*x.Coverage, x.Targets, x.Cold, x.Ejected, x.Leaving, strings.Join(x.Impaired, ","))
 			}
 		})
+		printAdmission(s.Admission)
+	})
+}
+
+// printAdmission prints the admission pools of the instance that answered, if it has any.
+func printAdmission(m map[string]cowslipadmission.Status) {
+	if len(m) == 0 {
+		return
+	}
+	fmt.Println()
+	printTable("POOL LIMITED DEMAND RATE IN-TIME PRESSURE", func(w *tabwriter.Writer) {
+		for _, n := range slices.Sorted(maps.Keys(m)) {
+			x := m[n]
+			fmt.Fprintf(w, "%s\t%t\t%.1f/s\t%.1f/s\t%.1f/s\t%.2f\n", n, x.Limited, x.Demand, x.Rate, x.InTime, x.Pressure)
+		}
 	})
 }
 
