--- a/cowslipadmission/class.go
+++ b/cowslipadmission/class.go
@@ -24,10 +24,10 @@
 	scarcityPower = 0.25
 	// urgentTolerance is the pressure that the most urgent class tolerates, in multiples of
 	// what the least urgent one does. Classes in between are spaced evenly.
-	urgentTolerance = 1.3
+	urgentTolerance = 1.25
 	// maxLevel is the level of a class without pressure. From there to 1 it takes a pressure
 	// that lasts, longer than that of a burst that targets can queue.
-	maxLevel = 4
+	maxLevel = 5
 	minLevel = 0.001
 	// leastOfServed bounds the level from below, as a share of what is answered in time.
 	leastOfServed = 0.8
--- a/cowslipadmission/evidence.go
+++ b/cowslipadmission/evidence.go
@@ -23,7 +23,7 @@
 	freshReportAge = 50 * time.Millisecond
 	// usualQueue and usualShed are the queue per slot and the share of parts shed that each
 	// count as a pressure of 1.
-	usualQueue = 0.2
+	usualQueue = 0.18
 	usualShed  = 0.015
 	// singleLate is what tolerableLate is while targets have free slots.
 	singleLate = 0.9
--- a/cowslipadmission/model_test.go
+++ b/cowslipadmission/model_test.go
@@ -61,10 +61,8 @@
 }
 
 type modelTargetState struct {
-	running  int
-	queue    []*modelPart
-	slow     bool
-	slowFrom int64 // number of the span of time that slow is for
+	running int
+	queue   []*modelPart
 }
 
 // modelLoad is what an instance knows of a target's load.
@@ -210,7 +208,7 @@
 
 func (m *model) start(t *modelTargetState, p *modelPart) {
 	t.running++
-	work := time.Duration(m.slowness(t) * float64(modelWork) * math.Exp(0.5*m.random.NormFloat64()-0.125))
+	work := time.Duration(m.slowness(p) * float64(modelWork) * math.Exp(0.5*m.random.NormFloat64()-0.125))
 	m.after(work, func() {
 		t.running--
 		for len(t.queue) > 0 && t.running < modelSlots {
@@ -226,15 +224,14 @@
 	})
 }
 
-// slowness returns the factor by which a target is slower at this moment.
-func (m *model) slowness(t *modelTargetState) float64 {
+// slowness returns the factor by which a target is slower at this moment. It is the same in
+// all runs of the model.
+func (m *model) slowness(p *modelPart) float64 {
 	if m.slowFor == 0 {
 		return 1
 	}
-	if n := int64(m.now.Sub(modelStart) / m.slowFor); t.slowFrom != n+1 {
-		t.slowFrom, t.slow = n+1, m.random.Float64() < modelSlowShare
-	}
-	if t.slow {
+	span := m.now.Sub(modelStart) / m.slowFor
+	if rand.New(rand.NewPCG(uint64(span), uint64(p.service*modelReplicas+p.replica))).Float64() < modelSlowShare {
 		return m.slowFactor
 	}
 	return 1
--- a/cowslipadmission/pool.go
+++ b/cowslipadmission/pool.go
@@ -26,9 +26,13 @@
 	// urgent one is not open and the pressure is above swapPressure.
 	swapRate     = 1
 	swapPressure = 0.5
-	// quietPressure is the pressure below which a pool is quiet after quietTime, in seconds.
+	// quietPressure is the pressure below which a pool is quiet: after quietTime, in seconds,
+	// or after fallenTime if the demand is below fallenShare of the usual one. By chance an
+	// instance with few requests sees as little for shorter times during an overload.
 	quietPressure = 0.4
-	quietTime     = 0.7
+	quietTime     = 2
+	fallenTime    = 0.5
+	fallenShare   = 0.7
 	// negligible is the share of the demand below which a class is neither cut nor opened
 	// before others are.
 	negligible = 0.01
@@ -161,13 +165,14 @@
 		p.quiet = 0
 	}
 	total := p.demand.rate(now)
+	quiet := p.quiet >= quietTime || p.quiet >= fallenTime && total < fallenShare*p.usual.rate(now)
 	mayFall := true
 	for i, c := range slices.Backward(p.classes) {
 		mayRise := true
 		for _, u := range p.classes[:i] {
 			mayRise = mayRise && (u.level >= 1 || u.demand < negligible*total)
 		}
-		step := c.step(seconds, p.pressure/tolerance(i, len(p.classes)), p.quiet >= quietTime)
+		step := c.step(seconds, p.pressure/tolerance(i, len(p.classes)), quiet)
 		if !mayRise && p.pressure > swapPressure {
 			step = min(step, -swapRate*seconds)
 		}
