--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"expvar"
 	"log/slog"
 	"net"
 	"sync"
@@ -145,7 +144,8 @@
 	activeRelays  atomic.Int64 // requests in flight that are served for other instances
 	storeLost     atomic.Bool
 	lag           lag
-	usage         *usage                   // nil if usage is not reported
+	usage         *usage // nil if usage is not reported
+	admissions    admissions
 	settings      atomic.Pointer[settings] // nil until UpdateSettings is called
 	isolatedSince atomic.Int64             // Unix time in nanoseconds, 0 while not isolated
 }
@@ -198,8 +198,7 @@
 		NoRamp: o.Baseline.NoRamp, NoPool: o.Baseline.NoPool, NoAdmission: o.Baseline.NoAdmission, RoundRobin: o.Baseline.RoundRobin, Event: e.event,
 		ListOnly: o.Edge != nil, Bounds: o.Bounds.controlBounds(), AnsweredSince: e.answers.hasSince,
 	}, e.clock.Now())
-	e.metrics.vars.Set("learnedTargets", expvar.Func(func() any { return e.learner.table.Status(e.clock.Now()) }))
-	e.metrics.vars.Set("state", expvar.Func(func() any { return e.state() }))
+	e.publishState()
 	if o.Usage != nil && o.Edge != nil {
 		e.usage = newUsage(e, *o.Usage)
 	}
@@ -393,7 +392,3 @@
 		return true
 	}
 }
-
-func (e *Entry) runInBackground(task func(context.Context)) {
-	e.background.Go(func() { task(e.ctx) })
-}
--- a/cowslipentry/forward.go
+++ b/cowslipentry/forward.go
@@ -73,6 +73,8 @@
 
 	workspace *cowslipworkspace.Workspace // nil if the request has none; set before anything is sent
 	guard     forwardGuard
+	admission *admissionPool // that admitted the request; nil if none did
+	cost      float64        // of the request in that pool
 
 	relayedBy string // ID of the instance that served the request for this one, empty if none did
 
@@ -124,6 +126,7 @@
 	f.countUsage()
 	f.reportCrashes(x)
 	f.reportAnswer(x)
+	f.observeAdmitted(x)
 	f.releaseResponses()
 	f.observeReply(x)
 	return x
@@ -140,6 +143,9 @@
 	if x, ok := f.relay(ctx); ok {
 		return x
 	}
+	if x, ok := f.admit(); ok {
+		return x
+	}
 	defer f.releaseVersions()
 	for _, n := range f.services {
 		p, ok := f.dispatchPart(n)
--- a/cowslipentry/operator.go
+++ b/cowslipentry/operator.go
@@ -41,7 +41,9 @@
 	g.POST("/v1/config", e.handleApply)
 	g.GET("/v1/status", func(_ context.Context, c *app.RequestContext) {
 		u := e.usageStatus()
-		sendReport(e, c, func(now time.Time, k *cowslipcontrol.Control) any { return InstanceStatus{k.Status(now), u} })
+		sendReport(e, c, func(now time.Time, k *cowslipcontrol.Control) any {
+			return InstanceStatus{k.Status(now), u, e.admissions.status(now)}
+		})
 	})
 	g.GET("/v1/moves", func(_ context.Context, c *app.RequestContext) {
 		sendReport(e, c, func(now time.Time, k *cowslipcontrol.Control) any { return k.Moves(now) })
--- a/cowslipentry/usagestatus.go
+++ b/cowslipentry/usagestatus.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"cowslipflow/cowslipadmission"
 	"cowslipflow/cowslipcontrol"
 	"cowslipflow/cowslipusage"
 )
@@ -16,7 +17,8 @@
 // InstanceStatus is the answer to GET /v1/status.
 type InstanceStatus struct {
 	cowslipcontrol.Status
-	Usage *UsageStatus `json:"usage,omitempty"` // nil if usage is not reported
+	Usage     *UsageStatus                       `json:"usage,omitempty"`     // nil if usage is not reported
+	Admission map[string]cowslipadmission.Status `json:"admission,omitempty"` // by pool; those that admission is in use for
 }
 
 // UsageStatus is what an instance knows of the reports of usage.
