Pick names what keeps it from choosing a replica

An explanation of a choice must not drift apart from the choice. Of several obstacles it names the one that lasts longest, so the pace, which takes a lock, comes last.

--- a/cowsliproute/target.go
+++ b/cowsliproute/target.go
@@ -311,15 +311,26 @@
 	return l > 0 && int64(t.SinceProgress(now)) > stallFactor*l
 }
 
-// hasCapacity reports whether Acquire would succeed.
-func (t *Target) hasCapacity() bool {
-	return !t.leaving.Load() && t.suspension.Load() == 0 && t.inFlight.Load() < t.limit.Load()
+// obstacle returns why Acquire would fail, or the empty string if it would succeed.
+func (t *Target) obstacle() Obstacle {
+	limit := t.limit.Load()
+	switch {
+	case t.leaving.Load():
+		return Leaving
+	case t.suspension.Load() != 0:
+		return Suspended
+	case limit <= 0:
+		return NoLimit
+	case t.inFlight.Load() >= limit:
+		return AtLimit
+	}
+	return ""
 }
 
-// hasFreeSlot reports whether Acquire would succeed and, as far as the load is known,
-// the request would not have to queue at the target. A paced target has none to spare.
+// hasFreeSlot reports whether, as far as the load is known, a request would not have to queue
+// at the target. A paced target has no slot to spare.
 func (t *Target) hasFreeSlot() bool {
-	return t.hasCapacity() && t.pace.Load() == nil && t.effectiveLoad() < int64(max(t.info.Slots, 1))
+	return t.pace.Load() == nil && t.effectiveLoad() < int64(max(t.info.Slots, 1))
 }
 
 // effectiveLoad returns the greater of the load that the target reported and the number
--- a/cowsliproute/view.go
+++ b/cowsliproute/view.go
@@ -145,23 +145,33 @@
 
 // eligible reports whether a replica satisfies the options and has capacity now. Its
 // pace must allow a request, too, and it must not be paused.
-func (v *View) eligible(t *Target, o PickOptions) bool {
+func (v *View) eligible(t *Target, o PickOptions) bool { return v.Obstacle(t, o) == "" }
+
+// Obstacle returns why Pick does not choose a replica, or the empty string if it may. Of several
+// obstacles, it returns the one that is likely to last longest.
+func (v *View) Obstacle(t *Target, o PickOptions) Obstacle {
 	if !o.Version.Allows(t.info.Version) {
-		return false
+		return OtherVersion
 	}
 	if o.OwnDomainOnly && t.info.FailureDomain != v.domain {
-		return false
-	}
-	if !t.paceAllows(o.Now) || t.paused(o.Now) > 0 {
-		return false
+		return OtherDomain
 	}
 	for _, e := range o.Exclude {
 		if e == t {
-			return false
+			return AlreadyAsked
 		}
 	}
-	if o.IdleOnly {
-		return t.hasFreeSlot()
+	if b := t.obstacle(); b != "" {
+		return b
+	}
+	if t.paused(o.Now) > 0 {
+		return Paused
 	}
-	return t.hasCapacity()
+	if !t.paceAllows(o.Now) {
+		return Paced
+	}
+	if o.IdleOnly && !t.hasFreeSlot() {
+		return WouldQueue
+	}
+	return ""
 }
