Versions, relays and the guard's plan can be asked for without effect

Service.ChooseVersions takes the only canary, Guards.Of merges guards, and Relay.usable gave no reason, so a command that explains where a request would go could use none of them. VersionRule, Guards.Plan and Relay.RuledOut hold the decisions now, and the choices use or are tested against them.

--- a/cowslipguard/guard.go
+++ b/cowslipguard/guard.go
@@ -109,6 +109,13 @@
 
 func (g *Guard) alert(now time.Time) bool { return now.Before(g.until) }
 
+// end returns when the alert ends.
+func (g *Guard) end() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.until
+}
+
 // merge adds what another guard knows.
 func (g *Guard) merge(o *Guard) {
 	o.mu.Lock()
--- a/cowslipguard/guard_test.go
+++ b/cowslipguard/guard_test.go
@@ -205,3 +205,22 @@
 	g.Retain(func(s string) bool { return s == "e" })
 	require.False(t, g.Of("a").Alert(t0))
 }
+
+// Guards against an explanation that tells another plan than the one that is followed, or that
+// makes a guard.
+func TestPlanOfGuardsIsThatOfTheGuard(t *testing.T) {
+	var g cowslipguard.Guards
+	l := shardNames(20)
+	require.Equal(t, cowslipguard.Plan{}, g.Plan(t0, 1, l, 0.89))
+	g.Of(l[1]).Loss(t0, cowslipguard.Loss{Request: 2})
+	g.Of(l[3:5]...).Loss(t0.Add(time.Second), cowslipguard.Loss{Request: 1})
+	for i, x := range []time.Duration{0, 1500 * time.Millisecond, time.Minute, 2 * time.Minute} {
+		p := g.Plan(t0.Add(x), 1, l, 0.89)
+		require.Equal(t, i < 3, p.Alert)
+		require.NotSame(t, g.Of(l[1]), g.Of(l[3]), "asking merges no guards")
+		var h cowslipguard.Guards
+		h.Of(l[1]).Loss(t0, cowslipguard.Loss{Request: 2})
+		h.Of(l[3:5]...).Loss(t0.Add(time.Second), cowslipguard.Loss{Request: 1})
+		require.Equal(t, h.Of(l...).Plan(t0.Add(x), 1, l, 0.89), p)
+	}
+}
--- a/cowslipguard/guards.go
+++ b/cowslipguard/guards.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"sync"
+	"time"
 )
 
 // Guards are the guards of all sets of shards. The zero value is ready to use. It is safe for
@@ -44,6 +45,23 @@
 	return x
 }
 
+// Plan returns what Of(shards...).Plan would return, and changes nothing.
+func (g *Guards) Plan(now time.Time, request uint64, shards []string, minCoverage float64) Plan {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	// Of merges guards into the first one, which takes over what a later alert knows.
+	var x *Guard
+	for _, s := range shards {
+		if y := g.guards[s]; y != nil && (x == nil || y.end().After(x.end())) {
+			x = y
+		}
+	}
+	if x == nil {
+		return Plan{}
+	}
+	return x.Plan(now, request, shards, minCoverage)
+}
+
 // Retain forgets the guards of services that are no longer configured.
 func (g *Guards) Retain(configured func(service string) bool) {
 	g.mu.Lock()
--- a/cowsliproute/relay.go
+++ b/cowsliproute/relay.go
@@ -44,13 +44,32 @@
 // Avoid stops requests to the relay until the given time.
 func (r *Relay) Avoid(until time.Time) { r.avoidUntil.Store(monotonicNanos(until)) }
 
-// usable reports whether the relay may be asked: it is not avoided, and it has not held
+// Reasons why a relay is not asked.
+const (
+	relayAvoided = "avoided" // it has not accepted a request, or not answered one
+	relayStalled = "stalled"
+)
+
+// RuledOut returns why the relay may not be asked, empty if it may: it is avoided, or it has held
 // requests for longer than stallTimeout without ending any.
-func (r *Relay) usable(now time.Time, stallTimeout time.Duration) bool {
+func (r *Relay) RuledOut(now time.Time, stallTimeout time.Duration) string {
 	n, until := monotonicNanos(now), r.avoidUntil.Load()
-	return (until == 0 || n >= until) && (r.inFlight.Load() == 0 || n-r.lastProgress.Load() <= int64(stallTimeout))
+	switch {
+	case until != 0 && n < until:
+		return relayAvoided
+	case r.inFlight.Load() != 0 && n-r.lastProgress.Load() > int64(stallTimeout):
+		return relayStalled
+	}
+	return ""
 }
 
+// InFlight returns how many requests this process has passed on to the relay that have not ended.
+func (r *Relay) InFlight() int { return int(r.inFlight.Load()) }
+
+// Relays returns the instances that serve wide requests for this one. The caller must not change
+// the slice.
+func (v *View) Relays() []*Relay { return v.relays }
+
 // PickRelay returns a random relay that may be asked at now, or nil if there is none. It
 // prefers relays in this instance's failure domain. StallTimeout is how long a relay may
 // hold requests without ending any.
@@ -59,7 +78,7 @@
 	nearSeen, farSeen := 0, 0
 	for _, x := range v.relays {
 		switch {
-		case !x.usable(now, stallTimeout):
+		case x.RuledOut(now, stallTimeout) != "":
 		case x.domain == v.domain:
 			if nearSeen++; r.IntN(nearSeen) == 0 {
 				near = x
--- a/cowsliproute/service.go
+++ b/cowsliproute/service.go
@@ -98,28 +98,48 @@
 	return []VersionSet{p.Preferred}
 }
 
-// ChooseVersions decides which versions a request of a route may be sent to. Draw is a
-// random number, uniform in [0,1). The caller must call release when the request ends,
-// since a process sends only one canary request at a time.
-func (s *Service) ChooseVersions(route string, draw float64) (p VersionPreference, release func()) {
+// VersionRule states how the versions of a route's requests are chosen. Requests get Usual, except
+// the share MovedShare and, if Canary is set, one at a time, which get Moved.
+type VersionRule struct {
+	Usual, Moved VersionPreference
+	MovedShare   float64
+	Canary       bool
+}
+
+// VersionRule returns how the versions of a route's requests are chosen.
+func (s *Service) VersionRule(route string) VersionRule {
 	m := s.move
 	if m == nil {
-		return VersionPreference{Preferred: OnlyVersion(s.config.Version())}, func() {}
+		return VersionRule{Usual: VersionPreference{Preferred: OnlyVersion(s.config.Version())}}
 	}
 	before, after := OnlyVersion(m.From), OnlyVersion(m.To)
 	if m.From == "" {
 		before = ExceptVersion(m.To)
 	}
-	p = VersionPreference{Preferred: before}
 	share, known := m.RouteShares[route]
+	r := VersionRule{Usual: VersionPreference{Preferred: before}, Moved: VersionPreference{Preferred: after, Fallback: before, HasFallback: true}}
 	switch {
 	case m.Done:
-		p.Preferred = after
+		r.Usual.Preferred = after
 	case m.Stopped:
-	case known && draw < share:
-		p = VersionPreference{Preferred: after, Fallback: before, HasFallback: true}
-	case !known && m.Canary && m.CanaryInFlight.CompareAndSwap(false, true):
-		return VersionPreference{Preferred: after, Fallback: before, HasFallback: true}, func() { m.CanaryInFlight.Store(false) }
+	case known:
+		r.MovedShare = share
+	default:
+		r.Canary = m.Canary
+	}
+	return r
+}
+
+// ChooseVersions decides which versions a request of a route may be sent to. Draw is a
+// random number, uniform in [0,1). The caller must call release when the request ends,
+// since a process sends only one canary request at a time.
+func (s *Service) ChooseVersions(route string, draw float64) (p VersionPreference, release func()) {
+	r := s.VersionRule(route)
+	switch {
+	case draw < r.MovedShare:
+		return r.Moved, func() {}
+	case r.Canary && s.move.CanaryInFlight.CompareAndSwap(false, true):
+		return r.Moved, func() { s.move.CanaryInFlight.Store(false) }
 	}
-	return p, func() {}
+	return r.Usual, func() {}
 }
--- a/cowsliproute/version.go
+++ b/cowsliproute/version.go
@@ -16,3 +16,14 @@
 func (s VersionSet) Allows(v string) bool {
 	return (s.only == "" || v == s.only) && (s.except == "" || v != s.except)
 }
+
+// String returns the set in words.
+func (s VersionSet) String() string {
+	switch {
+	case s.only != "":
+		return s.only
+	case s.except != "":
+		return "any but " + s.except
+	}
+	return "any"
+}
