Operators' interface explains where a request would go

Operators could see what an instance believes of services and targets, but not what it would do with one request. POST /v1/route takes a request and tells the decision on it, the route, the workspace by its name, what is known of crashes, the guard's plan, the relays, and for each service the versions and the targets with what rules them out. It calls the functions that decide about requests, without their effects. Admission under overload has a method that returns nothing yet.

The tests compare refusals with those of Forward, and relays with PickRelay.

--- a/cowslipcontrol/report.go
+++ b/cowslipcontrol/report.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"cowslipflow/cowsliproute"
 	"cowslipflow/cowsliptarget"
 )
 
@@ -82,12 +81,10 @@
 // reports to operators.
 const livenessTimeout = 3 * time.Second
 
-var scopeNames = map[cowsliproute.Scope]string{cowsliproute.ScopeAll: "all", cowsliproute.ScopeOwnDomain: "own", cowsliproute.ScopeNone: "none"}
-
 // Status reports the status of this instance and its services.
 func (c *Control) Status(now time.Time) Status {
 	s := Status{
-		ID: c.o.ID, FailureDomain: c.o.FailureDomain, Revision: c.accepted.Revision, Scope: scopeNames[c.freshness.Scope(now)],
+		ID: c.o.ID, FailureDomain: c.o.FailureDomain, Revision: c.accepted.Revision, Scope: c.freshness.Scope(now).String(),
 		Leaving: c.leaving, PlatformDown: c.platform.down, InForce: []string{c.o.ID}, NotConfirmed: []string{},
 	}
 	for i := range c.peers {
--- a/cowslipentry/exchange_test.go
+++ b/cowslipentry/exchange_test.go
@@ -31,7 +31,11 @@
 // newStillEntry returns an instance whose clock stands still and whose loops do not run,
 // except the one that owns the control state.
 func newStillEntry(t *testing.T, id string, s *cowslipplatform.Store, seeds ...string) (*Entry, *clocktesting.FakeClock) {
-	c := clocktesting.NewFakeClock(time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC))
+	return newStillEntryAt(t, id, s, time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC), seeds...)
+}
+
+func newStillEntryAt(t *testing.T, id string, s *cowslipplatform.Store, now time.Time, seeds ...string) (*Entry, *clocktesting.FakeClock) {
+	c := clocktesting.NewFakeClock(now)
 	o := Options{ID: id, FailureDomain: "cerro", Callers: listen(t), Operators: listen(t), Peers: listen(t), Store: s, Seeds: seeds, Clock: c, Log: slog.New(slog.DiscardHandler)}
 	e, err := New(o)
 	require.NoError(t, err)
--- a/cowslipentry/operator.go
+++ b/cowslipentry/operator.go
@@ -48,6 +48,7 @@
 	g.GET("/v1/failureDomains", func(_ context.Context, c *app.RequestContext) {
 		sendReport(e, c, func(now time.Time, k *cowslipcontrol.Control) any { return k.FailureDomains(now) })
 	})
+	g.POST("/v1/route", e.handleRoute)
 	g.GET("/v1/timeline", func(ctx context.Context, c *app.RequestContext) { c.JSON(200, e.timeline(ctx)) })
 	g.GET("/debug/vars", e.handleVars)
 	return h
--- a/cowsliproute/freshness.go
+++ b/cowsliproute/freshness.go
@@ -15,6 +15,9 @@
 	ScopeNone                   // the process was paused and has not confirmed the configuration since: no targets
 )
 
+// String returns the name of the scope.
+func (s Scope) String() string { return [...]string{"all", "own", "none"}[s] }
+
 // freshnessTimes holds the arguments of Freshness.Set.
 type freshnessTimes struct {
 	confirmedUntil, runningUntil, blockedUntil time.Time
--- a/cowsliproute/view.go
+++ b/cowsliproute/view.go
@@ -1,7 +1,9 @@
 package cowsliproute
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cowslipflow/cowslipconfig"
@@ -80,6 +82,19 @@
 // Target returns the target at an address, or nil if none is known.
 func (v *View) Target(addr string) *Target { return v.byAddr[addr] }
 
+// TargetsOf returns all known targets of a service, also those that are not among its replicas, in
+// the order of their IDs.
+func (v *View) TargetsOf(service string) []*Target {
+	var l []*Target
+	for _, t := range v.byAddr {
+		if t.info.Service == service {
+			l = append(l, t)
+		}
+	}
+	slices.SortFunc(l, func(a, b *Target) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	return l
+}
+
 // CrashVerdict returns the verdict on requests with this fingerprint.
 func (v *View) CrashVerdict(fingerprint uint64) CrashVerdict {
 	return v.crashVerdicts[fingerprint].Verdict
