Command route: where a request would go now, and why

cowslipflow route METHOD URL asks one instance by POST /v1/route and prints the answer as text or JSON.

--- a/main.go
+++ b/main.go
@@ -166,6 +166,7 @@
 		{"query", "send a query as a caller", "query --service diaries 'household 4711'", &queryCommand{}},
 		{"record", "send a non-idempotent request as a caller", "record --service households --key visit-17 'entry 1'", &recordCommand{}},
 		{"explain", "print the log lines that explain one request", "explain 9c41d07be2a35f68 front-1.log front-2.log", &explainCommand{}},
+		{"route", "print where a request would go now and why, without sending it", "route GET 'http://diaries.example/search?q=4711' --header 'Name: value'", &routeCommand{}},
 		{"demo", "run a complete installation inside one process and send it a query and a record", "demo", &demoCommand{}},
 	}
 }
