--- a/cowslipentry/operator.go
+++ b/cowslipentry/operator.go
@@ -52,6 +52,7 @@
 		sendReport(e, c, func(now time.Time, k *cowslipcontrol.Control) any { return k.FailureDomains(now) })
 	})
 	g.GET("/v1/usage", func(_ context.Context, c *app.RequestContext) { c.JSON(200, e.usageReport()) })
+	g.POST("/v1/route", e.handleRoute)
 	g.GET("/v1/timeline", func(ctx context.Context, c *app.RequestContext) { c.JSON(200, e.timeline(ctx)) })
 	g.GET("/debug/vars", e.handleVars)
 	return h
--- a/cowsliproute/view.go
+++ b/cowsliproute/view.go
@@ -1,7 +1,9 @@
 package cowsliproute
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cowslipflow/cowslipconfig"
@@ -80,6 +82,19 @@
 // Target returns the target at an address, or nil if none is known.
 func (v *View) Target(addr string) *Target { return v.byAddr[addr] }
 
+// TargetsOf returns all known targets of a service, also those that are not among its replicas, in
+// the order of their IDs.
+func (v *View) TargetsOf(service string) []*Target {
+	var l []*Target
+	for _, t := range v.byAddr {
+		if t.info.Service == service {
+			l = append(l, t)
+		}
+	}
+	slices.SortFunc(l, func(a, b *Target) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	return l
+}
+
 // CrashVerdict returns the verdict on requests with this fingerprint.
 func (v *View) CrashVerdict(fingerprint uint64) CrashVerdict {
 	return v.crashVerdicts[fingerprint].Verdict
@@ -145,23 +160,33 @@
 
 // eligible reports whether a replica satisfies the options and has capacity now. Its
 // pace must allow a request, too, and it must not be paused.
-func (v *View) eligible(t *Target, o PickOptions) bool {
+func (v *View) eligible(t *Target, o PickOptions) bool { return v.Obstacle(t, o) == "" }
+
+// Obstacle returns why Pick does not choose a replica, or the empty string if it may. Of several
+// obstacles, it returns the one that is likely to last longest.
+func (v *View) Obstacle(t *Target, o PickOptions) Obstacle {
 	if !o.Version.Allows(t.info.Version) {
-		return false
+		return OtherVersion
 	}
 	if o.OwnDomainOnly && t.info.FailureDomain != v.domain {
-		return false
-	}
-	if !t.paceAllows(o.Now) || t.paused(o.Now) > 0 {
-		return false
+		return OtherDomain
 	}
 	for _, e := range o.Exclude {
 		if e == t {
-			return false
+			return AlreadyAsked
 		}
 	}
-	if o.IdleOnly {
-		return t.hasFreeSlot()
+	if b := t.obstacle(); b != "" {
+		return b
+	}
+	if t.paused(o.Now) > 0 {
+		return Paused
+	}
+	if !t.paceAllows(o.Now) {
+		return Paced
 	}
-	return t.hasCapacity()
+	if o.IdleOnly && !t.hasFreeSlot() {
+		return WouldQueue
+	}
+	return ""
 }
