--- a/cowslipadmission/pool_test.go
+++ b/cowslipadmission/pool_test.go
@@ -185,3 +185,24 @@
 	p.Admit(now, cowslipadmission.Request{})
 	require.False(t, p.Limited())
 }
+
+// Guards against an explanation that changes what later requests get, and against one that
+// does not show that a class is cut.
+func TestAdmittedTellsTheShare(t *testing.T) {
+	p := &cowslipadmission.Pool{Rand: func() float64 { return 0 }}
+	r := cowslipadmission.Request{Priority: 2}
+	require.Equal(t, 1.0, p.Admitted(r))
+	now := time.Unix(1_800_000_000, 0)
+	for range 200 {
+		now = now.Add(20 * time.Millisecond)
+		if p.Admit(now, r).Admitted {
+			p.Ended(now, cowslipadmission.Result{Priority: 2, Parts: 10, Shed: 8})
+		}
+	}
+	s := p.Status(now)
+	require.True(t, s.Limited)
+	share := p.Admitted(r)
+	require.Less(t, share, 1.0)
+	require.Equal(t, share, p.Admitted(r))
+	require.Equal(t, s, p.Status(now))
+}
--- a/cowslipadmission/status.go
+++ b/cowslipadmission/status.go
@@ -74,3 +74,21 @@
 	s.Shares = s.Shares[:min(len(s.Shares), maxShares)]
 	return s
 }
+
+// Admitted returns the part of requests like r that is admitted now, from 0 to 1. It changes
+// nothing.
+func (p *Pool) Admitted(r Request) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.limited {
+		return 1
+	}
+	i, ok := p.find(r.Priority)
+	if !ok {
+		return 1
+	}
+	if f := p.classes[i].flows[flowKey{r.Workspace, r.Domain}]; f != nil {
+		return f.share
+	}
+	return min(p.classes[i].level, 1)
+}
--- a/cowslipentry/admissions.go
+++ b/cowslipentry/admissions.go
@@ -50,13 +50,25 @@
 	case len(services) == 1:
 		r.pool = a.find(now, services[0], services)
 	case r.pool == nil || !slices.Equal(r.services, services):
-		r = routePool{services, a.find(now, strings.Join(slices.Sorted(slices.Values(services)), "\x00"), services)}
+		r = routePool{services, a.find(now, poolKey(services), services)}
 		a.routes[route] = r
 	}
 	r.pool.usedAt = now
 	return r.pool
 }
 
+// peek returns the pool of the services if it exists, else nil. It changes nothing.
+func (a *admissions) peek(services []string) *admissionPool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.pools[poolKey(services)]
+}
+
+// poolKey identifies the pool of a set of services.
+func poolKey(services []string) string {
+	return strings.Join(slices.Sorted(slices.Values(services)), "\x00")
+}
+
 // find returns the pool with a key. If it makes a new one, it drops those that are not in use
 // any more.
 func (a *admissions) find(now time.Time, key string, services []string) *admissionPool {
--- a/cowslipentry/forwardexplain.go
+++ b/cowslipentry/forwardexplain.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
+	"cowslipflow/cowslipadmission"
 	"cowslipflow/cowsliproute"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -61,9 +64,29 @@
 	return x, nil
 }
 
-// explainAdmission returns how the request ranks under overload. Requests are not admitted by
-// rank yet.
-func (f *forward) explainAdmission() string { return "" }
+// explainAdmission returns what part of requests like this one is admitted to the targets, empty
+// if admission is not in use for them.
+func (f *forward) explainAdmission() string {
+	c := f.route.Config()
+	pools := [][]string{c.Gather()}
+	if len(c.Gather()) == 0 {
+		pools = nil
+		for _, s := range c.Split() {
+			pools = append(pools, []string{s.Service()})
+		}
+	}
+	w, weight, priority := f.admissionRank()
+	var l []string
+	for _, services := range pools {
+		p := f.admissions.peek(services)
+		if p == nil || !p.used.Load() {
+			continue
+		}
+		share := p.Admitted(cowslipadmission.Request{Priority: priority, Workspace: w, Weight: weight, Domain: f.view.FailureDomain()})
+		l = append(l, fmt.Sprintf("%s: %.0f%% of priority %d", p.name, 100*share, priority))
+	}
+	return strings.Join(l, "; ")
+}
 
 func (f *forward) explainWorkspace(x *RouteExplanation) {
 	d := f.view.Workspaces()
