Guard: suspected crashes alert for seconds, certain ones for a minute

Waiting for an answer of another target before any alert let one content through seven instances at once end 32 targets and leave 59 of 399 harmless queries unserved (TestCrashingWideQueryThroughProcesses, beside load, and alone). Two crashes with no answer now alert at once for 3 s, and for a minute once 15 ms have passed without an answer.

--- a/cowslipentry/crashwarning.go
+++ b/cowslipentry/crashwarning.go
@@ -72,7 +72,7 @@
 	// An instance that has answered the request itself, or whose request a target answered as well,
 	// takes it to have shared the target.
 	excused := w.GetCrashes() == 0 || e.answers.has(e.clock.Now(), w.GetFingerprint())
-	loss := cowslipguard.Loss{Age: time.Duration(w.GetAgeMillis()) * time.Millisecond, Request: w.GetCopies(), Excused: excused}
+	loss := cowslipguard.Loss{Age: time.Duration(w.GetAgeMillis()) * time.Millisecond, Request: w.GetCopies(), Excused: excused, Suspected: true}
 	for _, s := range w.GetServices()[:min(len(w.GetServices()), maxWarnedServices)] {
 		if v.Service(s) != nil {
 			e.guardLoss(e.wide.guards.Of(s), loss, s, w.GetIncident())
--- a/cowslipentry/crashwarning_test.go
+++ b/cowslipentry/crashwarning_test.go
@@ -255,6 +255,7 @@
 			f.guard.answered.Store(c.answered)
 			clock.Step(explanationWait)
 			e.background.Wait()
+			clock.Step(cowslipguard.SuspectedAlertTime)
 			require.Equal(t, c.alert, planned(f).Alert)
 		})
 	}
@@ -307,7 +308,7 @@
 	f.incident, f.content = "r1 x", 9
 	f.guard.guard = e.wide.guards.Of(f.services...)
 	for range 3 {
-		f.recordLoss("w3", false)
+		f.recordLoss("w3", cowslipguard.Loss{Request: f.copies})
 	}
 	select {
 	case w := <-received:
--- a/cowslipentry/forwardprobe.go
+++ b/cowslipentry/forwardprobe.go
@@ -34,8 +34,9 @@
 	// explanationWait is how long an answer of another target may take to show that a request did
 	// not crash the first one. When many targets end at once, as with a failure domain, requests
 	// that were just sent have no answer yet; taken for crashing ones, they would put all wide
-	// requests under the guard. Meanwhile nothing more of the request is sent.
-	explanationWait = 30 * time.Millisecond
+	// requests under the guard for a minute. Meanwhile nothing more of the request is sent, and the
+	// guards are alert for seconds only.
+	explanationWait = 15 * time.Millisecond
 	// minAlertCrashes is how many targets must crash under one sending, if it asks as many, to put
 	// a calm guard on alert. A request that crashes targets ends most that it reaches, while one
 	// may end by itself with any request in flight.
@@ -97,13 +98,21 @@
 		if !f.refusesSoon(ctx, x.target.Info().Addr) {
 			return
 		}
-		alert := f.guard.guard.Alert(f.clock.Now())
-		if !alert && !f.sleep(ctx, explanationWait-f.clock.Since(broken)) || f.guard.answered.Load() {
+		if f.guard.answered.Load() {
+			return
+		}
+		certain := f.guard.guard.Certain(f.clock.Now())
+		enough := certain || f.guard.crashes.Add(1) >= int64(min(minAlertCrashes, len(f.services)))
+		service := x.target.Info().Service
+		if enough {
+			f.recordLoss(service, cowslipguard.Loss{Request: f.copies, Excused: excused, Suspected: !certain})
+		}
+		if !certain && !f.sleep(ctx, explanationWait-f.clock.Since(broken)) || f.guard.answered.Load() {
 			return
 		}
 		f.sendResult(forwardResult{attempt: x.attempt, crashed: true})
-		if n := f.guard.crashes.Add(1); alert || n >= int64(min(minAlertCrashes, len(f.services))) {
-			f.recordLoss(x.target.Info().Service, excused)
+		if enough && !certain {
+			f.recordLoss(service, cowslipguard.Loss{Request: f.copies, Excused: excused})
 		}
 	})
 }
@@ -120,16 +129,16 @@
 }
 
 // recordLoss tells the guard and, once for each sending, other instances of a crash.
-func (f *forward) recordLoss(service string, excused bool) {
+func (f *forward) recordLoss(service string, l cowslipguard.Loss) {
 	now := f.clock.Now()
-	f.guardLoss(f.guard.guard, cowslipguard.Loss{Request: f.copies, Excused: excused}, service, f.incident)
+	f.guardLoss(f.guard.guard, l, service, f.incident)
 	if !f.guard.warned.CompareAndSwap(false, true) {
 		return
 	}
 	w := crashWarning{at: now, message: &cowslipmessage.CrashWarning{
 		Id: f.opts.ID, Incarnation: f.incarnation, Incident: f.incident, Fingerprint: f.fingerprint, Family: f.family, Copies: f.copies, Content: f.content, Services: []string{service},
 	}}
-	if !excused {
+	if !l.Excused {
 		w.message.Crashes = 1
 	}
 	f.warnPeers(w)
--- a/cowslipguard/guard.go
+++ b/cowslipguard/guard.go
@@ -15,6 +15,9 @@
 const (
 	// AlertTime is how long a guard stays alert after the last loss.
 	AlertTime = time.Minute
+	// SuspectedAlertTime is how long a guard stays alert after a loss that is only suspected. By then
+	// its cause shows, or the store does.
+	SuspectedAlertTime = 3 * time.Second
 	// MaxContents bounds the contents that a guard knows as answered, and those it knows as lost.
 	MaxContents = 4096
 	// ResendWait is how long a request is refused after a target broke it off. Callers send a
@@ -30,6 +33,7 @@
 	mu       sync.Mutex
 	since    time.Time // when the alert began
 	until    time.Time // when the alert ends
+	certain  time.Time // until when it lasts for losses that are more than suspected
 	answered contents  // answered in full since the alert began
 	lost     contents  // broken off since the alert began
 }
@@ -41,6 +45,9 @@
 	// Excused is set if a target has answered the request lately. It probably only shared the
 	// target with one that crashes targets, and may be sent again at once.
 	Excused bool
+	// Suspected is set while an answer of another target may still show that the request did not
+	// crash this one.
+	Suspected bool
 }
 
 // Plan is how a wide request is sent.
@@ -60,11 +67,18 @@
 	}
 	began := !g.alert(now)
 	if began {
-		g.since, g.until, g.answered, g.lost = at, time.Time{}, contents{}, contents{}
+		g.since, g.until, g.certain, g.answered, g.lost = at, time.Time{}, time.Time{}, contents{}, contents{}
 	}
-	if u := at.Add(AlertTime); u.After(g.until) {
+	d := AlertTime
+	if l.Suspected {
+		d = SuspectedAlertTime
+	}
+	if u := at.Add(d); u.After(g.until) {
 		g.until = u
 	}
+	if u := at.Add(d); !l.Suspected && u.After(g.certain) {
+		g.certain = u
+	}
 	g.answered.remove(l.Request)
 	if !l.Excused {
 		g.lost.add(l.Request, at)
@@ -88,6 +102,13 @@
 	return g.alert(now)
 }
 
+// Certain reports whether targets have crashed lately, by more than a suspicion.
+func (g *Guard) Certain(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return now.Before(g.certain)
+}
+
 // Plan returns how a request with the given request is sent to the named shards. The share
 // minCoverage of them must answer.
 func (g *Guard) Plan(now time.Time, request uint64, shards []string, minCoverage float64) Plan {
@@ -123,7 +144,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if o.until.After(g.until) {
-		g.since, g.until, g.answered, g.lost = o.since, o.until, o.answered, o.lost
+		g.since, g.until, g.certain, g.answered, g.lost = o.since, o.until, o.certain, o.answered, o.lost
 	}
 }
 
--- a/cowslipguard/guard_test.go
+++ b/cowslipguard/guard_test.go
@@ -224,3 +224,18 @@
 		require.Equal(t, h.Of(l...).Plan(t0.Add(x), 1, l, 0.89), p)
 	}
 }
+
+// Guards against a suspicion that counts like a crash, and against a crash that is forgotten as
+// a suspicion came first or later.
+func TestSuspectedLoss(t *testing.T) {
+	var g cowslipguard.Guard
+	g.Loss(t0, cowslipguard.Loss{Request: 1, Suspected: true})
+	require.True(t, g.Alert(t0))
+	require.False(t, g.Certain(t0))
+	require.False(t, g.Alert(t0.Add(cowslipguard.SuspectedAlertTime)))
+	g.Loss(t0.Add(100*time.Millisecond), cowslipguard.Loss{Request: 1})
+	g.Loss(t0.Add(200*time.Millisecond), cowslipguard.Loss{Request: 1, Suspected: true})
+	require.True(t, g.Certain(t0.Add(time.Minute)))
+	require.True(t, g.Alert(t0.Add(time.Minute)))
+	require.False(t, g.Alert(t0.Add(time.Minute+200*time.Millisecond)))
+}
