--- a/review/_second/replica.go
+++ b/review/_second/replica.go
@@ -14,25 +14,45 @@
 	id, service, zone, version, addr string
 	slots                            int
 	work                             func(r *http.Request) time.Duration // how long a request takes
+	fails                            func(r *http.Request) bool          // whether it fails; nil if none does
 	sequence                         int
+	server                           *http.Server
 
-	mu   sync.Mutex
-	runs map[string]int // by request ID
+	mu       sync.Mutex
+	runs     map[string]int // by request ID
+	began    []time.Time    // when each run began
+	failures int
 }
 
 // newTarget starts a replica on a free port and registers it.
 func newTarget(s *kvStore, id, service, zone string, slots int, work func(*http.Request) time.Duration) (*target, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	t := &target{id: id, service: service, zone: zone, version: "v1", slots: slots, work: work}
+	if err := t.start(); err != nil {
 		return nil, err
 	}
-	t := &target{id: id, service: service, zone: zone, version: "v1", addr: l.Addr().String(), slots: slots, work: work, runs: map[string]int{}}
-	h := &http.Server{Handler: http.HandlerFunc(t.serve)}
-	go func() { _ = h.Serve(l) }()
 	t.register(s, "ready")
 	return t, nil
 }
 
+// start starts to serve on a free port.
+func (t *target) start() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	t.addr, t.runs = l.Addr().String(), map[string]int{}
+	t.server = &http.Server{Handler: http.HandlerFunc(t.serve)}
+	go func() { _ = t.server.Serve(l) }()
+	return nil
+}
+
+// stop ends the replica at once, with the requests that it runs, and removes its entry.
+func (t *target) stop(s *kvStore) {
+	// The error is ignored: the listener is closed in any case.
+	_ = t.server.Close()
+	s.remove("servers/" + t.id)
+}
+
 func (t *target) register(s *kvStore, state string) {
 	t.sequence++
 	// Marshaling a map of plain values cannot fail.
@@ -54,6 +74,7 @@
 	}
 	t.mu.Lock()
 	t.runs[id]++
+	t.began = append(t.began, time.Now())
 	t.mu.Unlock()
 	if d := t.work(r); d > 0 {
 		select {
@@ -63,6 +84,12 @@
 		}
 	}
 	w.Header().Set("X-Server-Stamp", t.id+"."+id)
+	if t.fails != nil && t.fails(r) {
+		t.mu.Lock()
+		t.failures++
+		t.mu.Unlock()
+		w.WriteHeader(http.StatusInternalServerError)
+	}
 	_, _ = w.Write([]byte("done " + id))
 }
 
@@ -72,3 +99,15 @@
 	defer t.mu.Unlock()
 	return t.runs[id]
 }
+
+// counts returns how many runs began from one time to another, and how many failed in all.
+func (t *target) counts(from, to time.Time) (runs, failures int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, b := range t.began {
+		if !b.Before(from) && b.Before(to) {
+			runs++
+		}
+	}
+	return runs, t.failures
+}
