--- a/review/_second/process.go
+++ b/review/_second/process.go
@@ -19,10 +19,10 @@
 
 // instance is an entry instance of the project, started with the command of the deploy file.
 type instance struct {
-	name, dir, front, ready, control string
-	cmd                              *exec.Cmd
-	log                              *os.File
-	ended                            chan struct{} // closed when the process has ended
+	name, zone, dir, front, ready, control string
+	cmd                                    *exec.Cmd
+	log                                    *os.File
+	ended                                  chan struct{} // closed when the process has ended
 }
 
 // Ports of instances lie below those that the kernel assigns to outgoing connections, so that
@@ -62,7 +62,7 @@
 		return nil, err
 	}
 	a := func(n int) string { return fmt.Sprint("127.0.0.1:", p[n]) }
-	i := &instance{name: name, dir: dir, front: a(0), ready: a(1), control: a(2)}
+	i := &instance{name: name, zone: zone, dir: dir, front: a(0), ready: a(1), control: a(2)}
 	f := map[string]any{
 		"nodeName": name, "role": "entry", "machineClass": "front", "serves": []string{"front", "control"}, "ip": "127.0.0.1", "zone": zone, "region": "r",
 		"zones": map[string]string{"za": "r", "zb": "r"}, "listen": map[string]string{"front": i.front, "readiness": i.ready, "control": i.control},
--- a/review/_second/replica.go
+++ b/review/_second/replica.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -18,10 +19,10 @@
 	sequence                         int
 	server                           *http.Server
 
-	mu       sync.Mutex
-	runs     map[string]int // by request ID
-	began    []time.Time    // when each run began
-	failures int
+	mu     sync.Mutex
+	runs   map[string]int // by request ID
+	began  []time.Time    // when each run began
+	failed []time.Time    // when each failure was answered
 }
 
 // newTarget starts a replica on a free port and registers it.
@@ -86,7 +87,7 @@
 	w.Header().Set("X-Server-Stamp", t.id+"."+id)
 	if t.fails != nil && t.fails(r) {
 		t.mu.Lock()
-		t.failures++
+		t.failed = append(t.failed, time.Now())
 		t.mu.Unlock()
 		w.WriteHeader(http.StatusInternalServerError)
 	}
@@ -109,5 +110,12 @@
 			runs++
 		}
 	}
-	return runs, t.failures
+	return runs, len(t.failed)
+}
+
+// failedAt returns when the replica has answered with failures.
+func (t *target) failedAt() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.failed)
 }
