Review, case 9: a version bad under load is recorded as completed

Cause: the new version gets a tenth of the requests until the decision, on as many replicas as the old one, so that it is never under load before the move is recorded as completed (pacedShare, requestOutcome, doubt).

Change: a script with three moves to a version that fails requests while four of six slots are taken. The stand-in for replicas tells how many requests run. The case on a route with few requests becomes case 10, as it is the lesser one.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Moves services to a version that is bad on one route only.
+# Moves a service to a version that is bad under load.
 # Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/cowslipflow ] && [ -x target/review-second ] || {
--- a/review/_second/case7.go
+++ b/review/_second/case7.go
@@ -28,7 +28,7 @@
 	for n := 0; n < frozenRounds && time.Since(r.began) < roundLimit; n++ {
 		err := playMoves(frozenFleets, func(k int) error {
 			f := &moveFleet{run: r, name: fmt.Sprint("r", n, "-d", k), rates: map[string]float64{"/b/": mainRate}}
-			f.fails = func(_ string, since time.Duration) bool { return since >= turnsBad }
+			f.fails = func(_ string, since time.Duration, _ int) bool { return since >= turnsBad }
 			return f.play(f.freezeOne, f.judgeRollback)
 		})
 		if err != nil {
--- a/review/_second/case9.go
+++ b/review/_second/case9.go
@@ -1,46 +1,37 @@
 package main
 
 import (
+	"errors"
 	"fmt"
-	"math/rand/v2"
-	"strings"
 	"time"
 )
 
 const (
-	oneRouteFleets = 3    // deployments side by side, each with a move of its own
-	mainRate       = 60.0 // requests a second on the route in use
-	otherRate      = 1.5  // and on the other one, on which the new version is bad
-	badShare       = 0.5  // of the answers on that route
+	loadFleets = 3     // deployments side by side, each with a move of its own
+	loadRate   = 120.0 // requests a second
+	badFrom    = 4     // requests at once, of 6 that a replica may run, from which the new version fails
 )
 
-// moveBadOnOneRoute orders moves to a version that is bad on one route only, from its start on, and
-// checks how many requests the version gets.
-func moveBadOnOneRoute(r *run) error {
-	return playMoves(oneRouteFleets, func(n int) error {
-		f := &moveFleet{run: r, name: fmt.Sprint("d", n), rates: map[string]float64{"/b/": mainRate, "/c/": otherRate}}
+// moveBadUnderLoad orders moves to a version that fails requests while most of a replica's slots are
+// taken, and checks how many requests the version gets, and whether it gets any after its fault.
+func moveBadUnderLoad(r *run) error {
+	return playMoves(loadFleets, func(n int) error {
+		f := &moveFleet{run: r, name: fmt.Sprint("d", n), rates: map[string]float64{"/b/": loadRate}}
 		if r.trouble {
-			f.fails = func(path string, _ time.Duration) bool {
-				return strings.HasPrefix(path, "/c/") && rand.Float64() < badShare
-			}
+			f.fails = func(_ string, _ time.Duration, busy int) bool { return busy >= badFrom }
 		}
-		return f.play(func() {}, f.judgeExposure)
+		return f.play(func() {}, func() error { return errors.Join(f.judgeExposure(), f.judgeAfterFault()) })
 	})
 }
 
-// judgeExposure checks the share of the requests between the order and its time budget that the new
-// version got. There is no bound for a good one.
-func (f *moveFleet) judgeExposure() error {
-	end := f.ordered.Add(moveDuration)
-	n, _ := f.sum(f.after, f.ordered, end)
-	o, _ := f.sum(f.before, f.ordered, end)
-	total, bad := f.sum(f.after, f.ordered, time.Now())
-	allowed := exposeShare*float64(n+o) + exposeSlack
-	f.note("between the order and its time budget, %d of %d requests reached the new version; allowed if it is bad: %.1f", n, n+o, allowed)
-	f.note("up to %.0f s after it: %d, of which %d ran badly; answers: %v", moveWatch.Seconds(), total, bad, &f.answers)
-	if f.trouble && float64(n) > allowed {
-		f.note("broken: EXPOSURE")
-		return fmt.Errorf("%w: EXPOSURE: a bad version got %d requests, where %.1f are allowed", errBroken, n, allowed)
+// judgeAfterFault checks that a bad version gets no request later than rollback after the bad answer
+// that shows its fault.
+func (f *moveFleet) judgeAfterFault() error {
+	late, _ := f.sum(f.after, f.shownAt().Add(rollback), time.Now())
+	f.note("%d requests ran at the new version later than %v after its %dth bad answer", late, rollback, shownBy)
+	if !f.trouble || late == 0 {
+		return nil
 	}
-	return nil
+	f.note("broken: EXPOSURE")
+	return fmt.Errorf("%w: EXPOSURE: %d requests ran at a bad version later than %v after its %dth bad answer", errBroken, late, rollback, shownBy)
 }
--- a/review/_second/main.go
+++ b/review/_second/main.go
@@ -55,7 +55,7 @@
 	fmt.Fprintf(r.record, strings.TrimSuffix(format, "\n")+"\n", a...)
 }
 
-var cases = map[string]func(*run) error{"6": stopInTurn, "7": freezeInMove, "8": changeTimeout, "9": moveBadOnOneRoute}
+var cases = map[string]func(*run) error{"6": stopInTurn, "7": freezeInMove, "8": changeTimeout, "9": moveBadUnderLoad, "10": moveBadOnOneRoute}
 
 func main() { os.Exit(execute()) }
 
--- a/review/_second/move.go
+++ b/review/_second/move.go
@@ -41,8 +41,8 @@
 type moveFleet struct {
 	*run
 	name       string
-	rates      map[string]float64                          // requests a second, by path prefix
-	fails      func(path string, since time.Duration) bool // whether the new version fails, by the time since the order; nil if it never does
+	rates      map[string]float64                                    // requests a second, by path prefix
+	fails      func(path string, since time.Duration, busy int) bool // whether the new version fails, by the time since the order and by how many requests a replica runs; nil if it never does
 	ordered    time.Time
 	statuses   []string // that the store has shown
 	store      *kvStore
@@ -225,7 +225,7 @@
 	for n, o := range f.before {
 		t := &target{id: fmt.Sprint("i-2", n), service: "s1", zone: o.zone, version: "v2", slots: o.slots, work: o.work}
 		if f.fails != nil {
-			t.fails = func(r *http.Request) bool { return f.fails(r.URL.Path, time.Since(f.ordered)) }
+			t.fails = func(r *http.Request, busy int) bool { return f.fails(r.URL.Path, time.Since(f.ordered), busy) }
 		}
 		if err := t.start(); err != nil {
 			return err
--- a/review/_second/replica.go
+++ b/review/_second/replica.go
@@ -14,12 +14,13 @@
 type target struct {
 	id, service, zone, version, addr string
 	slots                            int
-	work                             func(r *http.Request) time.Duration // how long a request takes
-	fails                            func(r *http.Request) bool          // whether it fails; nil if none does
+	work                             func(r *http.Request) time.Duration  // how long a request takes
+	fails                            func(r *http.Request, busy int) bool // whether it fails, given how many ran when it began, itself included; nil if none does
 	sequence                         int
 	server                           *http.Server
 
 	mu     sync.Mutex
+	busy   int            // requests that it runs
 	runs   map[string]int // by request ID
 	began  []time.Time    // when each run began
 	failed []time.Time    // when each failure was answered
@@ -73,10 +74,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	t.mu.Lock()
-	t.runs[id]++
-	t.began = append(t.began, time.Now())
-	t.mu.Unlock()
+	busy := t.begin(id)
+	defer t.end()
 	if d := t.work(r); d > 0 {
 		select {
 		case <-time.After(d):
@@ -85,7 +84,7 @@
 		}
 	}
 	w.Header().Set("X-Server-Stamp", t.id+"."+id)
-	if t.fails != nil && t.fails(r) {
+	if t.fails != nil && t.fails(r, busy) {
 		t.mu.Lock()
 		t.failed = append(t.failed, time.Now())
 		t.mu.Unlock()
@@ -94,6 +93,22 @@
 	_, _ = w.Write([]byte("done " + id))
 }
 
+// begin counts a run and returns how many requests run now.
+func (t *target) begin(id string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.busy++
+	t.runs[id]++
+	t.began = append(t.began, time.Now())
+	return t.busy
+}
+
+func (t *target) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.busy--
+}
+
 // ran returns how often the replica began to run a request.
 func (t *target) ran(id string) int {
 	t.mu.Lock()
