Moves: a record is replaced only by who knows it, and a pause decides nothing

Cause: recordMoveState looked up the revision that its write expects in the mirror at the moment of the write. The mirror had the record of the others, the control state that had decided had not. And a judge decided at once after a pause, by what it knew before. The class: a conditional write whose condition is not the state that decided it.

Evidence: TestRecordOfAMoveRestsOnTheStateThatDecided has a mirror ahead of the control state and no pause. With the look-up, all three cases fail: "done" becomes "takenBack" or "runs". TestJudgeDecidesNothingByWhatItKnewBeforeAPause fails without mayDecide: done is requested while the others have found a fault.

Change: the control state keeps the revision of each move's record and what it decides carries it to the write, the start of a move too. After a conflict the record is read and the control state decides anew, without a wait. After a pause, also one of the machine, a judge waits for another judge and for recent evidence. Answers that waited in a pause confirm the mirror as of the beginning of the call, and clear no request.

TestMovesOfTheStore now expects a record with its revision for each order, also for one that has no status yet, where it expected none: what it checked before is still checked.

--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -81,6 +81,7 @@
 	startedAt   time.Time
 	lastTick    time.Time
 	resumedAt   time.Time // when the process last resumed after a pause
+	pausedUntil time.Time // when it last resumed after one longer than ViewTTL
 	leaving     bool
 	accepted    Accepted
 	digest      uint64 // of the accepted configuration text
@@ -110,7 +111,7 @@
 	sharedCrashes    []crash // in the store
 	unanswered       []unanswered
 	outcomes         map[string]*cowslipmessage.Outcome
-	recordedMoves    map[string]bool // moves whose start is recorded on the platform, by ID
+	moveRecords      map[string]moveRecord // what the platform shows of moves, by ID
 	stops            map[string]*cowslipmessage.Stop
 
 	departedCounts map[string]map[evidenceKey]counts // evidence received from peers that are gone and from previous incarnations of peers, by incarnation
@@ -140,6 +141,7 @@
 	Repair   bool                      // write the configuration in force to the store, which holds an older revision
 	Outcomes []*cowslipmessage.Outcome // record these outcomes of moves
 	Started  []cowslipconfig.Move      // record that these moves have started
+	Expected map[string]uint64         // by move ID: the revision that its record in the store has if nothing has changed since Outcomes and Started were decided
 	Crashes  []SharedCrash             // tell the other instances of these crashes
 	Holds    []SharedHold              // write these holds to the store
 	Push     bool                      // exchange state with all peers immediately
@@ -161,7 +163,7 @@
 		freshness: &cowsliproute.Freshness{}, scope: cowsliproute.ScopeNone,
 		targetIndex: map[string]int{}, targetByAddr: map[string]*cowsliproute.Target{}, services: map[string]*service{},
 		domains:  map[string]*domainState{},
-		outcomes: map[string]*cowslipmessage.Outcome{}, recordedMoves: map[string]bool{}, stops: map[string]*cowslipmessage.Stop{},
+		outcomes: map[string]*cowslipmessage.Outcome{}, moveRecords: map[string]moveRecord{}, stops: map[string]*cowslipmessage.Stop{},
 		serviceDirty: map[string]bool{}, targetsDirty: map[string]bool{}, clearedSuspects: map[uint64]map[string]time.Time{}, shortHolds: map[uint64]*shortHold{}, lifts: map[uint64]lift{}, holds: map[uint64]*hold{}, departedCounts: map[string]map[evidenceKey]counts{}, viewDirty: true, limitsDirty: true,
 	}
 	return c
--- a/cowslipcontrol/freshness.go
+++ b/cowslipcontrol/freshness.go
@@ -54,16 +54,26 @@
 	}
 }
 
+// Resumed handles a pause of the process that ended at now. Pauses that the times of the ticks
+// show need not be told. A further call at the same time changes nothing.
+func (c *Control) Resumed(now time.Time, pause time.Duration) {
+	if c.pausedUntil.Equal(now) {
+		return
+	}
+	c.o.Event("stoodStill", c.o.ID, pause.Round(time.Millisecond).String())
+	c.quietUntil = now.Add(ResumeQuietPeriod)
+	c.pausedUntil = now
+	c.effects.Push = true
+}
+
 // runFreshness returns until when the configuration in force counts as confirmed.
 // When the platform is unreachable, recent answers of all known peers confirm it,
 // since an edit can only be accepted through one of them. With Options.ListOnly it
 // stays confirmed. After a process pause, nothing is sent for ResumeQuietPeriod
 // unless a new confirmation arrives.
 func (c *Control) runFreshness(now time.Time) (confirmedUntil time.Time) {
-	gap := now.Sub(c.lastTick)
-	if gap > ViewTTL {
-		c.o.Event("stoodStill", c.o.ID, gap.Round(time.Millisecond).String())
-		c.quietUntil = now.Add(ResumeQuietPeriod)
+	if gap := now.Sub(c.lastTick); gap > ViewTTL {
+		c.Resumed(now, gap)
 	}
 	if t, ok := c.oldestPeerAnswer(now); ok && c.accepted.Revision > 0 {
 		c.confirm(t)
--- a/cowslipcontrol/judge.go
+++ b/cowslipcontrol/judge.go
@@ -35,15 +35,12 @@
 		c.markMove(m)
 	}
 	m.isJudge = !c.o.ListOnly || slices.Contains(c.judges(id), c.o.ID)
-	if c.o.ListOnly && canary && !c.recordedMoves[id] && c.outcomes[id] == nil {
+	if c.o.ListOnly && canary && !c.moveRecords[id].started && c.outcomes[id] == nil {
 		c.effects.Started = append(c.effects.Started, m.config)
+		c.expectRecord(id)
 	}
 }
 
-// MoveStartRecorded handles the confirmation that the platform has recorded the
-// start of a move.
-func (c *Control) MoveStartRecorded(id string) { c.recordedMoves[id] = true }
-
 // MovePeers returns the peers to exchange state with for the moves under way: the
 // judges of these moves.
 func (c *Control) MovePeers() []Member {
--- a/cowslipcontrol/move.go
+++ b/cowslipcontrol/move.go
@@ -95,6 +95,9 @@
 			}
 			continue
 		}
+		if !c.mayDecide(now, m) {
+			continue
+		}
 		if fresh && c.stops[m.config.ID()] == nil {
 			c.evaluate(now, m)
 		}
@@ -212,7 +215,7 @@
 func (c *Control) requestOutcome(now time.Time, m *move) {
 	id := m.config.ID()
 	if s := c.stops[id]; s != nil {
-		c.effects.Outcomes = append(c.effects.Outcomes, &cowslipmessage.Outcome{Move: id, Reason: s.GetReason(), By: c.o.ID})
+		c.requestRecord(&cowslipmessage.Outcome{Move: id, Reason: s.GetReason(), By: c.o.ID})
 		return
 	}
 	f := m.progress(now)
@@ -225,7 +228,7 @@
 	case late:
 		c.stop(m, "not all routes moved in time")
 	case m.doubt == "":
-		c.effects.Outcomes = append(c.effects.Outcomes, &cowslipmessage.Outcome{Move: id, Done: true, Reason: "all routes moved", By: c.o.ID})
+		c.requestRecord(&cowslipmessage.Outcome{Move: id, Done: true, Reason: "all routes moved", By: c.o.ID})
 	case f < evidenceDeadline:
 		if m.held != m.doubt {
 			m.held = m.doubt
--- a/cowslipentry/edge.go
+++ b/cowslipentry/edge.go
@@ -28,6 +28,9 @@
 	// EncodeMove returns the key and the value that show operators the state of a
 	// move.
 	EncodeMove func(m cowslipconfig.Move, s MoveState) (key string, data []byte)
+	// DecodeMove returns the record of a move that the value of its key holds. It has no
+	// state if the value belongs to another move or cannot be decoded.
+	DecodeMove func(m cowslipconfig.Move, v cowslipplatform.Value) MoveRecord
 }
 
 // MoveState is the state of a move.
@@ -42,15 +45,16 @@
 
 // MoveRecord is the state of a move as recorded in the store.
 type MoveRecord struct {
-	Move  string // its ID
-	State MoveState
+	Move     string    // its ID
+	State    MoveState // empty if none is recorded
+	Revision uint64    // of the key that holds it, 0 if the key does not exist
 }
 
 // StoreContents are the decoded values of the store.
 type StoreContents struct {
 	ConfigText string // the operators' configuration, empty if there is none yet
 	Targets    []cowslipplatform.Instance
-	Moves      []MoveRecord
+	Moves      []MoveRecord // of the operators' orders in force
 }
 
 // Wire is the format of forwarded requests and of the targets' responses.
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -143,6 +143,7 @@
 	relayer       *cowslippeer.Relayer
 	activeRelays  atomic.Int64 // requests in flight that are served for other instances
 	storeLost     atomic.Bool
+	pauses        pauses
 	lag           lag
 	usage         *usage // nil if usage is not reported
 	admissions    admissions
@@ -187,6 +188,10 @@
 		reportLogs:      rate.Sometimes{First: 1, Interval: reportLogInterval},
 		mirror:          &cowslipmirror.Mirror{},
 	}
+	e.pauses.now = e.clock.Now
+	if o.Clock == (clock.RealClock{}) {
+		e.pauses.now = suspensionClock(e.clock.Now())
+	}
 	e.buffers = cowsliptarget.NewBuffers(o.Memory / bufferDivisor)
 	e.forwarder = cowsliptarget.NewForwarder(cowsliptarget.ForwarderOptions{IDHeader: o.Wire.IDHeader, Dial: o.Dial})
 	e.relayer = &cowslippeer.Relayer{Dial: o.Dial}
--- a/cowslipentry/forward.go
+++ b/cowslipentry/forward.go
@@ -71,6 +71,7 @@
 	view     *cowsliproute.View
 	route    *cowsliproute.Route
 	start    time.Time
+	arrival  time.Time // like start, by the clock of the pauses
 	closeAt  time.Time // latest time at which the answer closes, complete or not; later parts are not awaited
 	dispatch *cowslipquery.Dispatch
 	options  cowslipquery.DispatchOptions // of dispatch
@@ -122,7 +123,7 @@
 func (e *Entry) Forward(ctx context.Context, r Request) Reply {
 	e.requests.Add(1)
 	defer e.requests.Done()
-	f := &forward{Entry: e, request: r, view: e.view.Load(), start: e.clock.Now().Add(-r.elapsed)}
+	f := &forward{Entry: e, request: r, view: e.view.Load(), start: e.clock.Now().Add(-r.elapsed), arrival: e.pauses.now()}
 	if f.view == nil || f.view.Revision() == 0 {
 		return notRunReply(unconfiguredReason, shortRetryAfter)
 	}
--- a/cowslipentry/forwardcrash.go
+++ b/cowslipentry/forwardcrash.go
@@ -213,6 +213,9 @@
 // clearSuspect dismisses the crashes in the given services under a request that targets of
 // these services have answered.
 func (f *forward) clearSuspect(ctx context.Context, services map[string]bool) {
+	if f.outdated("requestNotCleared") {
+		return
+	}
 	f.event("requestCleared", formatFingerprint(f.fingerprint), "targets answered request "+f.request.ID)
 	f.do(func(now time.Time, c *cowslipcontrol.Control) {
 		for n := range services {
@@ -237,6 +240,16 @@
 	}
 }
 
+// outdated reports whether the process stood still since the request arrived, and logs it under
+// the given name. Targets may have crashed under other copies of the request since it was answered.
+func (f *forward) outdated(name string) bool {
+	if !f.pauses.since(f.arrival) {
+		return false
+	}
+	f.log.Info(name, "id", f.request.ID, "fingerprint", formatFingerprint(f.fingerprint), "reason", "the process stood still since the request arrived")
+	return true
+}
+
 // clearShared removes a crash in one of the services from the store if it happened under the
 // request. One that happened under another request is no longer evidence against this one.
 func (f *forward) clearShared(ctx context.Context, v cowslipplatform.Value, services map[string]bool) error {
--- a/cowslipentry/loop.go
+++ b/cowslipentry/loop.go
@@ -31,6 +31,9 @@
 		e.control.Observe(<-e.samples)
 	}
 	n := e.clock.Now()
+	if d := e.pauses.tick(); d > 0 {
+		e.control.Resumed(n, d)
+	}
 	v, x := e.control.Tick(n)
 	e.view.Store(v)
 	e.updateReadiness(n, v.Revision() > 0 && (e.opts.Edge == nil || e.isMirrorUsable(n)), e.control.Isolated(n))
@@ -47,7 +50,7 @@
 		e.runInBackground(func(ctx context.Context) { e.repairStore(ctx, a) })
 	}
 	if len(x.Outcomes) > 0 {
-		e.recordMoveOutcomes(x.Outcomes)
+		e.recordMoveOutcomes(x.Outcomes, x.Expected)
 	}
 	if e.opts.Edge != nil {
 		e.shareHolds(x.Holds)
@@ -56,7 +59,10 @@
 		e.shareEndedRuns(v, x.Crashes)
 	}
 	for _, m := range x.Started {
-		e.startThrottled("started/"+m.ID(), moveRecordRetryInterval, func(ctx context.Context) { e.recordMoveState(ctx, m, MoveRunning) })
+		e.startRetried("started/"+m.ID(), func(ctx context.Context) time.Duration {
+			_, wait := e.recordMoveState(ctx, m, MoveRunning, x.Expected[m.ID()])
+			return wait
+		})
 	}
 }
 
@@ -104,10 +110,12 @@
 }
 
 // recordMoveOutcomes records the outcomes of moves, with at most one task per move at
-// a time.
-func (e *Entry) recordMoveOutcomes(l []*cowslipmessage.Outcome) {
+// a time. expected are the revisions of their records on which they were decided.
+func (e *Entry) recordMoveOutcomes(l []*cowslipmessage.Outcome, expected map[string]uint64) {
 	for _, o := range l {
-		e.startThrottled("outcome/"+o.GetMove(), moveRecordRetryInterval, func(ctx context.Context) { e.recordMoveOutcome(ctx, o) })
+		e.startRetried("outcome/"+o.GetMove(), func(ctx context.Context) time.Duration {
+			return e.recordMoveOutcome(ctx, o, expected[o.GetMove()])
+		})
 	}
 }
 
@@ -118,12 +126,20 @@
 // startThrottled starts a task in the background unless one of the same name is
 // running or ended less than interval ago.
 func (e *Entry) startThrottled(name string, interval time.Duration, task func(context.Context)) {
+	e.startRetried(name, func(ctx context.Context) time.Duration {
+		task(ctx)
+		return interval
+	})
+}
+
+// startRetried starts a task in the background unless one of the same name is running or
+// ended less than the time ago that it returned.
+func (e *Entry) startRetried(name string, task func(context.Context) time.Duration) {
 	if _, busy := e.activeTasks.LoadOrStore(name, true); busy {
 		return
 	}
 	e.runInBackground(func(ctx context.Context) {
-		task(ctx)
-		e.sleep(ctx, interval)
+		e.sleep(ctx, task(ctx))
 		e.activeTasks.Delete(name)
 	})
 }
--- a/cowslipentry/moves.go
+++ b/cowslipentry/moves.go
@@ -8,6 +8,8 @@
 	"cowslipflow/cowslipcontrol"
 	"cowslipflow/cowslipmessage"
 	"cowslipflow/cowslipplatform"
+
+	"github.com/juju/errors"
 )
 
 // moveLoop exchanges state, including evidence on the versions, with the judges of the
@@ -25,22 +27,21 @@
 	return m
 }
 
-// applyMoveRecords passes the records of moves in the store to the control state.
-func applyMoveRecords(c *cowslipcontrol.Control, l []MoveRecord) {
+// applyMoveRecords passes the records of moves that the store showed at its revision asOf to the
+// control state.
+func applyMoveRecords(c *cowslipcontrol.Control, asOf uint64, l ...MoveRecord) {
 	for _, x := range l {
-		switch x.State {
-		case MoveRunning:
-			c.MoveStartRecorded(x.Move)
-		case MoveDone, MoveTakenBack:
+		c.MoveRecordRead(x.Move, x.Revision, asOf, x.State != "")
+		if x.State == MoveDone || x.State == MoveTakenBack {
 			c.Outcome(&cowslipmessage.Outcome{Move: x.Move, Done: x.State == MoveDone})
 		}
 	}
 }
 
 // recordOutcomeWithCodec records the outcome of a move in the format of a platform with
-// its own Edge. If another instance was faster, its record applies and arrives through
-// the mirror.
-func (e *Entry) recordOutcomeWithCodec(ctx context.Context, o *cowslipmessage.Outcome) {
+// its own Edge, in place of the revision of its record on which the outcome was decided. It
+// returns the time after which it may be tried again.
+func (e *Entry) recordOutcomeWithCodec(ctx context.Context, o *cowslipmessage.Outcome, expect uint64) time.Duration {
 	var m cowslipconfig.Move
 	found := false
 	e.do(func(_ time.Time, c *cowslipcontrol.Control) {
@@ -50,26 +51,50 @@
 			}
 		}
 	})
+	if !found {
+		return moveRecordRetryInterval
+	}
 	s := MoveTakenBack
 	if o.GetDone() {
 		s = MoveDone
 	}
-	if found && e.recordMoveState(ctx, m, s) {
+	written, wait := e.recordMoveState(ctx, m, s, expect)
+	if written {
 		e.do(func(_ time.Time, c *cowslipcontrol.Control) { c.Outcome(o) })
 	}
+	return wait
 }
 
-// recordMoveState replaces the record of a move if the store still holds the revision
-// that the mirror has. It reports whether the write succeeded.
-func (e *Entry) recordMoveState(ctx context.Context, m cowslipconfig.Move, s MoveState) bool {
+// recordMoveState replaces the record of a move if the store still holds the expected revision
+// of its key. It reports whether the write succeeded, and the time after which another one may
+// be tried.
+func (e *Entry) recordMoveState(ctx context.Context, m cowslipconfig.Move, s MoveState, expect uint64) (written bool, wait time.Duration) {
 	t, cancel := context.WithTimeout(ctx, platformCallTimeout)
 	defer cancel()
 	k, b := e.currentSettings().storeCodec.EncodeMove(m, s)
-	v, _ := e.mirror.Get(k) // a key that does not exist has revision 0
-	if _, err := e.opts.Store.Put(t, cowslipplatform.Write{Key: k, Data: b, Expect: v.Revision}); err != nil {
-		e.log.Warn("moveNotRecorded", "move", m.ID(), "state", string(s), "revision", v.Revision, "error", err)
-		return false
+	n, err := e.opts.Store.Put(t, cowslipplatform.Write{Key: k, Data: b, Expect: expect})
+	if err != nil {
+		e.log.Warn("moveNotRecorded", "move", m.ID(), "state", string(s), "expected", expect, "error", err)
+		if errors.Is(err, cowslipplatform.ErrConflict) && e.readMoveRecord(t, m, k) {
+			return false, 0
+		}
+		return false, moveRecordRetryInterval
 	}
 	e.event("moveRecorded", m.ID(), string(s))
+	e.do(func(_ time.Time, c *cowslipcontrol.Control) { c.MoveRecordRead(m.ID(), n, n, true) })
+	return true, moveRecordRetryInterval
+}
+
+// readMoveRecord passes the record of a move to the control state, which decides anew, and
+// reports whether it could be read.
+func (e *Entry) readMoveRecord(ctx context.Context, m cowslipconfig.Move, key string) bool {
+	v, err := e.opts.Store.Get(ctx, key)
+	if err != nil {
+		e.log.Info("record of a move not read", "move", m.ID(), "reason", err)
+		return false
+	}
+	r := e.currentSettings().storeCodec.DecodeMove(m, v)
+	e.log.Info("record of a move differs from the expected one", "move", m.ID(), "state", string(r.State), "revision", r.Revision)
+	e.do(func(_ time.Time, c *cowslipcontrol.Control) { applyMoveRecords(c, v.Revision, r) })
 	return true
 }
--- a/cowslipentry/platform.go
+++ b/cowslipentry/platform.go
@@ -195,13 +195,19 @@
 	}
 }
 
-// recordMoveOutcome records the outcome of a move. If another instance has recorded one
-// already, that one applies.
-func (e *Entry) recordMoveOutcome(ctx context.Context, o *cowslipmessage.Outcome) {
+// recordMoveOutcome records the outcome of a move, which was decided on the expected revision of
+// its record. If another instance has recorded one already, that one applies. It returns the
+// time after which the outcome may be recorded again.
+func (e *Entry) recordMoveOutcome(ctx context.Context, o *cowslipmessage.Outcome, expect uint64) time.Duration {
 	if e.opts.Edge != nil {
-		e.recordOutcomeWithCodec(ctx, o)
-		return
+		return e.recordOutcomeWithCodec(ctx, o, expect)
 	}
+	e.createOutcome(ctx, o)
+	return moveRecordRetryInterval
+}
+
+// createOutcome records the outcome of a move unless there is one. The one in the store applies.
+func (e *Entry) createOutcome(ctx context.Context, o *cowslipmessage.Outcome) {
 	t, cancel := context.WithTimeout(ctx, platformCallTimeout)
 	defer cancel()
 	b, err := json.Marshal(o)
--- a/cowslipentry/requesthold.go
+++ b/cowslipentry/requesthold.go
@@ -134,7 +134,7 @@
 		wait = 0
 	}
 	f.runInBackground(func(ctx context.Context) {
-		if !f.sleep(ctx, wait) || f.clock.Since(f.mirror.ConfirmedAt()) > f.staleAge() {
+		if !f.sleep(ctx, wait) || f.clock.Since(f.mirror.ConfirmedAt()) > f.staleAge() || f.outdated("trialNotTakenBack") {
 			return
 		}
 		var s cowslipcontrol.SharedHold
