Configuration: one odd value no longer keeps the rest from being in force

Cause: the limits of the product's own configuration decided whether the text was valid, and one problem rejected all of it. For operators' edits, which get the refusal, that is right; the platform's store has accepted its value already. The class: a bound of ours on what others have accepted, which rejects more than the value that exceeds it.

Evidence: the detail of configRejected names the field.

Imported configurations have far higher limits and any names without control characters. What was changed is logged once, counted and shown in /v1/status. Operators' edits keep their limits, and one that claims to be imported is refused.

--- a/cowslipconfig/check.go
+++ b/cowslipconfig/check.go
@@ -13,11 +13,7 @@
 	maxShards          = 10000
 	maxReplicas        = 1000
 	maxSlots           = 10000
-	maxConnections     = 100000
 	minDeadline        = 5 * time.Millisecond
-	maxDeadline        = 10 * time.Minute
-	maxWarmTime        = time.Hour
-	maxColdRate        = 1e6
 	maxPriority        = 9
 	defaultReplicas    = 2
 	defaultSlots       = 2
@@ -32,6 +28,7 @@
 
 type checker struct {
 	source   []byte
+	limits   limits
 	lines    map[string]int // by path; nil until the first problem
 	problems Problems
 }
@@ -58,7 +55,11 @@
 }
 
 func (k *checker) buildConfig(r Spec) *Config {
-	c := &Config{baseRevision: r.Revision, requireKey: r.RequireKey}
+	k.limits = editLimits
+	if r.Imported {
+		k.limits = importLimits
+	}
+	c := &Config{baseRevision: r.Revision, imported: r.Imported, requireKey: r.RequireKey}
 	names := map[string]bool{}
 	for i, d := range r.FailureDomains {
 		p := fmt.Sprintf("failureDomains[%d]", i)
@@ -86,15 +87,12 @@
 	return c
 }
 
-// IsName reports whether a configuration may use a string as a name.
-func IsName(s string) bool { return namePattern.MatchString(s) }
-
 func (k *checker) checkName(path, name string, seen map[string]bool) {
 	switch {
 	case name == "":
 		k.add(path+".name", "missing", "give a name")
-	case !IsName(name):
-		k.add(path+".name", fmt.Sprintf("invalid name %q", name), "start with a letter or digit, followed by letters, digits, dots, hyphens and underscores; 200 characters at most")
+	case !k.limits.name(name):
+		k.add(path+".name", fmt.Sprintf("invalid name %q", name), k.limits.nameHint)
 	case seen[name]:
 		k.add(path+".name", fmt.Sprintf("duplicate name %q", name), "give each one a unique name")
 	}
@@ -104,7 +102,7 @@
 func (k *checker) buildClass(p string, r ClassSpec, names map[string]bool) Class {
 	k.checkName(p, r.Name, names)
 	if r.Deadline != 0 {
-		k.checkDuration(p+".deadline", time.Duration(r.Deadline), minDeadline, maxDeadline)
+		k.checkDuration(p+".deadline", time.Duration(r.Deadline), minDeadline, k.limits.deadline)
 	}
 	k.checkRange(p+".priority", r.Priority, 0, maxPriority)
 	return Class{name: r.Name, deadline: time.Duration(r.Deadline), priority: r.Priority}
@@ -144,14 +142,14 @@
 	}
 	k.checkRange(p+".replicas", s.replicas, 1, maxReplicas)
 	k.checkRange(p+".slots", s.slots, 1, maxSlots)
-	k.checkRange(p+".connections", s.connections, 1, maxConnections)
+	k.checkRange(p+".connections", s.connections, 1, k.limits.connections)
 	k.checkRange(p+".coldSlots", s.coldSlots, 1, s.slots)
-	if !(s.coldRate >= 0 && s.coldRate <= maxColdRate) {
-		k.add(p+".coldRate", fmt.Sprintf("%v is out of range", s.coldRate), fmt.Sprintf("write a number of requests per second from 0 to %v", maxColdRate))
+	if !(s.coldRate >= 0 && s.coldRate <= k.limits.coldRate) {
+		k.add(p+".coldRate", fmt.Sprintf("%v is out of range", s.coldRate), fmt.Sprintf("write a number of requests per second from 0 to %v", k.limits.coldRate))
 	}
 	k.checkDuration(p+".connectTime", s.connectTime, 0, time.Minute)
-	k.checkDuration(p+".warmTime", s.warmTime, 0, maxWarmTime)
-	k.checkDuration(p+".deadline", s.deadline, minDeadline, maxDeadline)
+	k.checkDuration(p+".warmTime", s.warmTime, 0, k.limits.warmTime)
+	k.checkDuration(p+".deadline", s.deadline, minDeadline, k.limits.deadline)
 	if !(s.extraLoad >= 0 && s.extraLoad <= 1) {
 		k.add(p+".extraLoad", fmt.Sprintf("%v is out of range", s.extraLoad), "write a fraction from 0 to 1")
 	}
--- a/cowslipconfig/config.go
+++ b/cowslipconfig/config.go
@@ -21,6 +21,7 @@
 // and safe for concurrent use.
 type Config struct {
 	baseRevision uint64
+	imported     bool
 	domains      []FailureDomain
 	classes      []Class
 	services     []Service
--- a/cowslipconfig/parse.go
+++ b/cowslipconfig/parse.go
@@ -17,7 +17,11 @@
 	if len(source) > MaxEditBytes {
 		return nil, Problems{{Field: "text", Message: "larger than 768 KiB", Hint: "distribute the services over several installations"}}
 	}
-	return Parse(source)
+	c, err := Parse(source)
+	if err == nil && c.imported {
+		return nil, Problems{{Field: "imported", Message: "the text is not written by an operator", Hint: "leave it out"}}
+	}
+	return c, err
 }
 
 // Parse decodes and validates a configuration of any size: one that was accepted must come
--- a/cowslipconfig/route.go
+++ b/cowslipconfig/route.go
@@ -6,12 +6,10 @@
 	"time"
 )
 
-// Limits and defaults of a route.
+// Least values and defaults of a route.
 const (
 	defaultAttempts       = 2
-	maxRouteAttempts      = 100
-	maxTop                = 1 << 20
-	maxWeight             = 1 << 30
+	minTimeout            = time.Millisecond
 	defaultLatencyDivisor = 5 // the latency target defaults to 1/5 of the timeout
 )
 
@@ -116,10 +114,10 @@
 		k.add(p+".prefix", fmt.Sprintf("invalid path prefix %q", r.Prefix), "begin and end it with a slash")
 	}
 	k.checkDestination(p, r, &x, kinds)
-	k.checkRange(p+".attempts", x.attempts, 1, maxRouteAttempts)
-	k.checkRange(p+".top", x.top, 0, maxTop)
-	k.checkDuration(p+".timeout", x.timeout, time.Millisecond, maxDeadline)
-	k.checkDuration(p+".latencyTarget", x.latencyTarget, time.Millisecond, maxDeadline)
+	k.checkRange(p+".attempts", x.attempts, 1, k.limits.attempts)
+	k.checkRange(p+".top", x.top, 0, k.limits.records)
+	k.checkDuration(p+".timeout", x.timeout, minTimeout, k.limits.deadline)
+	k.checkDuration(p+".latencyTarget", x.latencyTarget, minTimeout, k.limits.deadline)
 	if !(x.minCoverage >= 0 && x.minCoverage <= 1) {
 		k.add(p+".minCoverage", fmt.Sprintf("%v is out of range", x.minCoverage), "write a fraction from 0 to 1")
 	}
@@ -161,7 +159,7 @@
 	}
 	sum := 0.0
 	for _, s := range x.split {
-		if !(s.weight >= 0 && s.weight <= maxWeight) {
+		if !(s.weight >= 0 && s.weight <= k.limits.weight) {
 			k.add(p+".split", fmt.Sprintf("weight %v of %q is out of range", s.weight, s.service), "write a number of at least 0")
 		}
 		sum += s.weight
--- a/cowslipconfig/spec.go
+++ b/cowslipconfig/spec.go
@@ -12,6 +12,7 @@
 // docs/CONFIG.md; a zero value stands for a key that is left out.
 type Spec struct {
 	Revision       uint64              `toml:"revision,omitempty"`
+	Imported       bool                `toml:"imported,omitempty"` // set by Import
 	FailureDomains []FailureDomainSpec `toml:"failureDomains,omitempty"`
 	Classes        []ClassSpec         `toml:"classes,omitempty"`
 	Services       []ServiceSpec       `toml:"services,omitempty"`
--- a/cowslipentry/clearing.go
+++ b/cowslipentry/clearing.go
@@ -7,6 +7,8 @@
 
 	"cowslipflow/cowslipcontrol"
 	"cowslipflow/cowslipplatform"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -19,6 +21,8 @@
 	// clearingRetryInterval is the time between calls to a store that did not accept what
 	// follows from an answer.
 	clearingRetryInterval = time.Second
+	// maxKeyPartBytes limits the length of a name in a key.
+	maxKeyPartBytes = 128
 )
 
 // decodeClearings returns the clearings among the store's values, with their revisions.
@@ -45,12 +49,21 @@
 		if !ok {
 			continue
 		}
-		k := clearingsPrefix + formatFingerprint(f.fingerprint) + "/" + n
+		k := clearingsPrefix + formatFingerprint(f.fingerprint) + "/" + keyPart(n)
 		c := cowslipcontrol.SharedClearing{Fingerprint: f.fingerprint, Family: f.family, Copies: f.copies, Content: f.content, Service: n}
 		f.untilAccepted(ctx, "clearing not shared", func(t context.Context) error { return f.writeClearing(t, k, c) })
 	}
 }
 
+// keyPart returns a part of a key that stands for a name, which may be longer than a key.
+func keyPart(name string) string {
+	if len(name) <= maxKeyPartBytes {
+		return name
+	}
+	return formatFingerprint(xxhash.Sum64String(name))
+}
+
+// writeClearing writes a clearing. It replaces any other one, as each says the same.
 func (e *Entry) writeClearing(ctx context.Context, key string, c cowslipcontrol.SharedClearing) error {
 	b, err := json.Marshal(c)
 	if err != nil {
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -144,6 +144,7 @@
 	activeRelays  atomic.Int64 // requests in flight that are served for other instances
 	storeLost     atomic.Bool
 	pauses        pauses
+	storeProblems storeProblems
 	lag           lag
 	usage         *usage // nil if usage is not reported
 	admissions    admissions
--- a/cowslipentry/follow.go
+++ b/cowslipentry/follow.go
@@ -351,9 +351,7 @@
 	}
 	values := e.mirror.Values()
 	b, problems := e.currentSettings().storeCodec.Decode(values)
-	for _, p := range problems {
-		e.log.Warn("value from the store ignored", "error", p)
-	}
+	e.storeProblems.update(e.log, problems)
 	r := e.mirror.Revision()
 	members := e.decodeMembers(values)
 	crashes := e.decodeCrashes(values)
--- a/cowslipentry/metrics.go
+++ b/cowslipentry/metrics.go
@@ -93,6 +93,7 @@
 // publishState adds the instance's state to its metrics.
 func (e *Entry) publishState() {
 	e.metrics.vars.Set("state", expvar.Func(func() any { return e.state() }))
+	e.metrics.vars.Set("storeProblems", expvar.Func(func() any { return e.storeProblems.status().Count }))
 	e.metrics.vars.Set("learnedTargets", expvar.Func(func() any { return e.learner.table.Status(e.clock.Now()) }))
 	e.metrics.vars.Set("admission", expvar.Func(func() any { return e.admissions.status(e.clock.Now()) }))
 }
--- a/cowslipentry/operator.go
+++ b/cowslipentry/operator.go
@@ -42,7 +42,7 @@
 	g.GET("/v1/status", func(_ context.Context, c *app.RequestContext) {
 		u := e.usageStatus()
 		sendReport(e, c, func(now time.Time, k *cowslipcontrol.Control) any {
-			return InstanceStatus{k.Status(now), u, e.admissions.status(now)}
+			return InstanceStatus{k.Status(now), u, e.admissions.status(now), e.storeProblems.status()}
 		})
 	})
 	g.GET("/v1/moves", func(_ context.Context, c *app.RequestContext) {
--- a/cowslipentry/usagestatus.go
+++ b/cowslipentry/usagestatus.go
@@ -19,6 +19,8 @@
 	cowslipcontrol.Status
 	Usage     *UsageStatus                       `json:"usage,omitempty"`     // nil if usage is not reported
 	Admission map[string]cowslipadmission.Status `json:"admission,omitempty"` // by pool; those that admission is in use for
+
+	StoreProblems StoreProblems `json:"storeProblems"` // values of the store that were changed or left out
 }
 
 // UsageStatus is what an instance knows of the reports of usage.
--- a/operatorcommands.go
+++ b/operatorcommands.go
@@ -191,6 +191,9 @@
 		if u := s.Usage; u != nil {
 			fmt.Println(usageDescription(*u))
 		}
+		if p := s.StoreProblems; p.Count > 0 {
+			fmt.Printf("%d values of the store cannot be used as they are:\n  %s\n", p.Count, strings.Join(p.First, "\n  "))
+		}
 		printTable("SERVICE INDEX COVERAGE TARGETS COLD EJECTED LEAVING IMPAIRED", func(w *tabwriter.Writer) {
 			for _, x := range s.Services {
 				fmt.Fprintf(w, "%s\t%d\t%.2f%%\t%d\t%d\t%d\t%d\t%s\n", x.Name, x.IndexVersion, 100*x.Coverage, x.Targets, x.Cold, x.Ejected, x.Leaving, strings.Join(x.Impaired, ","))
