Moves: the new targets have their load before a move is recorded as done

Cause: the allowed requests were spread evenly over time, targets and routes. Each new target had a tenth of its later load, a route with few requests one or two in the whole move, and "done" took that for evidence. The class: a decision that cannot be undone rests on evidence of another state than the one it leads to.

Change: cowslipexposure decides what part of each route's requests goes to the new version. It saves up for a last time in which one new target at a time has the load that it bears after the move, the same target at all instances. Routes with few requests give nine in ten of them early. A move is not done without that load, if there were requests enough, nor while the whole move leaves a doubt.

--- a/cowslipcontrol/comparison.go
+++ b/cowslipcontrol/comparison.go
@@ -27,12 +27,13 @@
 	level  float64 // significance level
 	errors uint64  // fewer failures are never a fault
 	slow   uint64  // fewer slow answers are never a fault
+	strict bool    // few requests of a route are compared with less margin for failures, as they can hardly show more
 }
 
 var (
 	faultThreshold  = threshold{level: 1e-4, errors: 3, slow: 4}
-	canaryThreshold = threshold{level: 1e-2, errors: 3, slow: 4} // before rampStart, and until some route has enough evidence to start its ramp
-	doubtThreshold  = threshold{level: 0.1, errors: 2, slow: 4}  // before the move is recorded as done
+	canaryThreshold = threshold{level: 1e-2, errors: 3, slow: 4}              // before rampStart, and until some route has enough evidence to start its ramp
+	doubtThreshold  = threshold{level: 0.1, errors: 2, slow: 4, strict: true} // before the move is recorded as done
 )
 
 // trafficScope is the part of a service's traffic that a test covers. An empty
@@ -139,6 +140,9 @@
 // there is none. The receiver's margins must be those returned by squareMargins.
 func (c comparison) fault(s trafficScope, t threshold) string {
 	e := binomialTest{bad: c.errors, total: c.requests, expected: c.expectedErrors, margin: math.Sqrt(c.errorsMargin), rateFloor: errorRateFloor}
+	if t.strict && s.domain == "" && c.requests < lowTrafficRequests {
+		e.margin /= marginStandardErrors
+	}
 	if c.errors >= t.errors && e.significant(t.level) {
 		return s.describe("failures", e)
 	}
--- a/cowslipcontrol/doubt.go
+++ b/cowslipcontrol/doubt.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
+
+	"cowslipflow/cowslipexposure"
 )
 
 const (
@@ -14,6 +17,10 @@
 	judgeEvidenceAge = 2 * time.Second
 	// judgeEvidenceShare is the share of instances whose evidence must not be older.
 	judgeEvidenceShare = 0.75
+	// minLoad is the part of the load after the move that the new version must have had lately.
+	minLoad = 0.3
+	// minLoadRequests is how many requests that load must make up for the lack of it to count.
+	minLoadRequests = 10
 )
 
 // doubt describes why a move may not be recorded as done yet, and returns an empty string
@@ -24,6 +31,11 @@
 // its exposure, the new version gets all requests in the end, and is only in doubt by spans
 // in which both versions can be compared.
 func (c *Control) doubt(now time.Time, m *move) string {
+	if c.exposure(m).bounded {
+		if r := m.faultSince(nil, doubtThreshold); r != "" {
+			return r
+		}
+	}
 	for _, k := range m.recentCheckpoints() {
 		if !c.exposure(m).bounded && !m.comparableSince(k) {
 			continue
@@ -35,6 +47,9 @@
 	if r := c.missingFreshRequests(m); r != "" {
 		return r
 	}
+	if r := c.missingLoad(now, m); r != "" {
+		return r
+	}
 	if m.progress(now) < evidenceDeadline {
 		return c.missingPeers(now)
 	}
@@ -79,6 +94,35 @@
 	return ""
 }
 
+// missingLoad reports that the targets of the new version have not had the load lately that they
+// bear after the move, though there were requests enough and the bound allows them.
+func (c *Control) missingLoad(now time.Time, m *move) string {
+	x := c.exposure(m)
+	since, ok := m.checkpointAgo(eighthAgo)
+	if !x.bounded || !ok || c.anyCold(now, m) {
+		return ""
+	}
+	var all, recent, sent uint64
+	for route, n := range m.requestsByRoute() {
+		all += n
+		recent += n - min(since.requests[route], n)
+	}
+	for k, y := range m.comparisons {
+		sent += y.requests - since.comparisons[k].requests
+	}
+	allowed := x.share*float64(all) + exposureFraction*float64(c.o.ExposeSlack)
+	load := min(cowslipexposure.LoadShare(len(c.newTargets(m)))*float64(recent), allowed/2)
+	if load >= minLoadRequests && float64(sent) < minLoad*load {
+		return fmt.Sprintf("no recent requests under load: %d of %.0f", sent, load)
+	}
+	return ""
+}
+
+// anyCold reports whether a target of the new version bears less than its usual load.
+func (c *Control) anyCold(now time.Time, m *move) bool {
+	return slices.ContainsFunc(c.newTargets(m), func(t *target) bool { return now.Before(t.coldUntil) })
+}
+
 // missingPeers reports that the recent evidence of too many instances is missing, so that
 // another judge may know better.
 func (c *Control) missingPeers(now time.Time) string {
--- a/cowslipcontrol/exposure.go
+++ b/cowslipcontrol/exposure.go
@@ -1,6 +1,12 @@
 package cowslipcontrol
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cowslipflow/cowslipexposure"
+)
 
 const (
 	// exposureFraction is the fraction of the bound on requests to the new version
@@ -10,9 +16,13 @@
 	// canaryFraction is the fraction of an instance's part of the bound that canary
 	// requests may use at first. The rest is for the time after the ramp has started.
 	canaryFraction = 0.25
-	// minPacedRequests is the number of requests from which an instance extrapolates its
-	// rate of requests.
-	minPacedRequests = 20
+	// loadTargetChanges is how often in the time of a move another target gets the load.
+	loadTargetChanges = 8
+	// lowTrafficShare is the greatest share of the requests of a route with low traffic. The rest
+	// is compared with.
+	lowTrafficShare = 0.9
+	// lowTrafficNoise is how many requests more than expected a route with low traffic may have had.
+	lowTrafficNoise = 5
 )
 
 // exposure is what this instance has sent of the requests that the new version of a move
@@ -49,24 +59,77 @@
 	return !x.bounded || x.sent < max(canaryFraction, progress)*x.allowed()
 }
 
-// pacedShare returns the highest share of a route's requests that this instance sends to the
-// new version. It spreads what is left of the allowed exposure over the requests that are
-// expected until the decision, so that the decision rests on recent evidence.
-func (c *Control) pacedShare(now time.Time, m *move) float64 {
+// plan decides how this instance divides the requests of a moved service between its versions.
+func (c *Control) plan(now time.Time, m *move) cowslipexposure.Plan {
 	x := c.exposure(m)
-	if !x.bounded {
-		return 1
+	t := cowslipexposure.Traffic{
+		Share: x.share, Slack: x.slack, Routes: map[string]cowslipexposure.Route{}, Elapsed: now.Sub(m.start),
+		Decision: time.Duration(evidenceDeadline * float64(m.duration())), Duration: m.duration(), Targets: len(c.newTargets(m)),
+	}
+	for k, n := range m.localEvidence {
+		r := t.Routes[k.route]
+		r.All += float64(n.requests)
+		if k.version == m.config.To() {
+			r.New += float64(n.requests)
+		}
+		t.Routes[k.route] = r
+	}
+	senders := float64(len(c.senders().ids))
+	for n, e := range m.routes {
+		if e.evidenceAt.IsZero() {
+			continue
+		}
+		r := t.Routes[n]
+		if r.Cap = m.share(now, e); x.bounded && m.hasLowTraffic(now, senders*r.All) {
+			r.Cap, r.Few = lowTrafficShare, true
+		}
+		t.Routes[n] = r
+	}
+	if x.bounded {
+		return t.Plan()
 	}
-	if x.sent >= x.allowed() {
-		return 0
+	p := cowslipexposure.Plan{Shares: map[string]float64{}}
+	for n, r := range t.Routes {
+		if r.Cap > 0 {
+			p.Shares[n] = r.Cap
+		}
+	}
+	return p
+}
+
+// hasLowTraffic reports whether a route that has had this many requests since the move began will
+// have fewer than lowTrafficRequests in its whole time.
+func (m *move) hasLowTraffic(now time.Time, requests float64) bool {
+	return requests < lowTrafficRequests*m.progress(now)+lowTrafficNoise
+}
+
+// newTargets returns the targets of the new version that are in service.
+func (c *Control) newTargets(m *move) []*target {
+	var l []*target
+	for i := range c.targets {
+		t := &c.targets[i]
+		x := t.handle.Info()
+		if x.Service == m.config.Service() && x.Version == m.config.To() && !t.leaving() && !c.config.FailureDomainOut(x.FailureDomain) {
+			l = append(l, t)
+		}
+	}
+	return l
+}
+
+// loadTarget returns the ID of the target of the new version that gets the requests at present,
+// the same at all instances. It is empty if this instance may not send requests to that target
+// now; any of the new version then get them.
+func (c *Control) loadTarget(now time.Time, m *move) string {
+	l := slices.DeleteFunc(c.newTargets(m), func(t *target) bool { return now.Before(t.coldUntil) })
+	if len(l) == 0 {
+		return ""
 	}
-	elapsed := now.Sub(m.start)
-	if x.all < minPacedRequests || elapsed <= 0 {
-		return x.share
+	slices.SortFunc(l, func(a, b *target) int {
+		return cmp.Compare(rendezvousScore(m.config.ID(), a.handle.Info().ID), rendezvousScore(m.config.ID(), b.handle.Info().ID))
+	})
+	t := l[int(m.progress(now)*loadTargetChanges)%len(l)]
+	if !t.handle.Available() {
+		return ""
 	}
-	// The time left never reaches 0, so that the share stays finite after the deadline.
-	end := time.Duration(evidenceDeadline * float64(m.duration()))
-	left := max(end-elapsed, m.duration()-end)
-	expected := x.all * left.Seconds() / elapsed.Seconds()
-	return min((x.allowed()+x.share*expected-x.sent)/expected, 1)
+	return t.handle.Info().ID
 }
--- a/cowslipcontrol/move.go
+++ b/cowslipcontrol/move.go
@@ -17,6 +17,7 @@
 	rampStart          = 0.2  // until here the planned share stays at initialShare while evidence is gathered
 	rampEnd            = 0.7  // from here the planned share of the new version is 1
 	earliestDone       = 0.9  // from here the move may be recorded as done
+	earliestDoneByFew  = 0.93 // likewise, with few recent requests to the new version, each of which tells more
 	lowTrafficStart    = 0.8  // from here a route with fewer than lowTrafficRequests may move without evidence of its own
 	lowTrafficRequests = 60   // requests to the old version on that route
 	evidenceDeadline   = 0.95 // from here the move is stopped if a route with traffic lacks evidence or has not fully moved, or its version is in doubt
@@ -121,25 +122,29 @@
 	for name, n := range m.byRoute(m.config.To()) {
 		r := m.route(name)
 		e := binomialTest{bad: n.errors, total: n.requests, rateFloor: errorRateFloor}
-		if r.evidenceAt.IsZero() && n.requests >= requiredEvidence(f) && !e.significant(doubtThreshold.level) {
+		if r.evidenceAt.IsZero() && n.requests >= c.requiredEvidence(m, f) && !e.significant(doubtThreshold.level) {
 			r.evidenceAt = now
 			c.markMove(m)
 		}
 	}
-	if f >= lowTrafficStart {
+	if f >= lowTrafficStart || c.exposure(m).bounded {
 		c.openLowTrafficRoutes(now, m)
 	}
 	m.doubt = c.doubt(now, m)
 }
 
 // openLowTrafficRoutes starts the ramp of routes that have too little traffic to
-// gather evidence, provided that another route has enough evidence.
+// gather evidence, provided that another route has enough evidence. Where the sum of the requests
+// to the new version is bounded, these routes may start early, as they hardly add to it.
 func (c *Control) openLowTrafficRoutes(now time.Time, m *move) {
 	proven := m.proven()
-	old := m.byRoute(m.config.From())
+	old, all := m.byRoute(m.config.From()), m.requestsByRoute()
+	late := m.progress(now) >= lowTrafficStart
 	for n, r := range m.routes {
-		if proven && r.evidenceAt.IsZero() && old[n].requests < lowTrafficRequests {
+		low := late && old[n].requests < lowTrafficRequests || !late && m.hasLowTraffic(now, float64(all[n]))
+		if proven && r.evidenceAt.IsZero() && low {
 			r.evidenceAt = now
+			c.markMove(m)
 		}
 	}
 }
@@ -165,10 +170,11 @@
 
 // requiredEvidence returns the number of requests to the new version that a
 // route needs before its ramp starts. The number falls as the end of the move
-// approaches, so that a good version completes in time even at low traffic.
-func requiredEvidence(progress float64) uint64 {
+// approaches, so that a good version completes in time even at low traffic. It is low where the
+// sum of the requests to the new version is bounded: the evidence comes after that.
+func (c *Control) requiredEvidence(m *move, progress float64) uint64 {
 	switch {
-	case progress < 0.5:
+	case progress < 0.5 && !c.exposure(m).bounded:
 		return 20
 	case progress < 0.7:
 		return 5
@@ -224,7 +230,7 @@
 		late = late || r.evidenceAt.IsZero() || m.share(now, r) < 1
 	}
 	switch {
-	case f < earliestDone || late && f < evidenceDeadline:
+	case f < m.earliestDone() || late && f < evidenceDeadline:
 	case late:
 		c.stop(m, "not all routes moved in time")
 	case m.doubt == "":
@@ -242,6 +248,19 @@
 	}
 }
 
+// earliestDone returns the fraction of its time from which the move may be recorded as done.
+func (m *move) earliestDone() float64 {
+	n := uint64(0)
+	since, _ := m.checkpointAgo(halfAgo)
+	for k, x := range m.comparisons {
+		n += x.requests - since.comparisons[k].requests
+	}
+	if n < lowTrafficRequests {
+		return earliestDoneByFew
+	}
+	return earliestDone
+}
+
 // monitorCompleted continues to evaluate a version after its move is done. It
 // reports the first fault to the operators and does not change the traffic.
 func (c *Control) monitorCompleted(now time.Time, m *move) {
@@ -289,15 +308,14 @@
 		if m.config.Service() != name {
 			continue
 		}
-		v := &cowsliproute.MoveView{ID: m.config.ID(), From: m.config.From(), To: m.config.To(), Canary: m.sendsCanary, CanaryInFlight: c.services[name].canary, RouteShares: map[string]float64{}}
+		v := &cowsliproute.MoveView{ID: m.config.ID(), From: m.config.From(), To: m.config.To(), Canary: m.sendsCanary, CanaryInFlight: c.services[name].canary}
 		o := c.outcomes[m.config.ID()]
 		v.Done = o.GetDone()
 		v.Canary = v.Canary && c.exposure(m).allowsCanary(m.progress(now))
 		v.Stopped = !v.Done && (o != nil || c.stops[m.config.ID()] != nil)
-		for n, r := range m.routes {
-			if !r.evidenceAt.IsZero() {
-				v.RouteShares[n] = min(m.share(now, r), c.pacedShare(now, m))
-			}
+		p := c.plan(now, m)
+		if v.RouteShares = p.Shares; p.Load {
+			v.LoadTarget = c.loadTarget(now, m)
 		}
 		return v
 	}
@@ -323,12 +341,12 @@
 		m := &c.moves[i]
 		id := m.config.ID()
 		x := MoveReport{ID: id, Service: m.config.Service(), From: m.config.From(), To: m.config.To(), By: m.config.Deadline(m.start), State: "canary", Share: map[string]float64{}}
-		for n, r := range m.routes {
-			x.Share[n] = 0
-			if !r.evidenceAt.IsZero() {
-				x.Share[n] = min(m.share(now, r), c.pacedShare(now, m))
-				x.State = "moving"
-			}
+		p := c.plan(now, m)
+		for n := range m.routes {
+			x.Share[n] = p.Shares[n]
+		}
+		if len(p.Shares) > 0 {
+			x.State = "moving"
 		}
 		o, s := c.outcomes[id], c.stops[id]
 		switch {
--- a/cowslipquery/dispatchoptions.go
+++ b/cowslipquery/dispatchoptions.go
@@ -20,7 +20,7 @@
 // Eligible reports whether a replica may be asked for the part, even if it has no
 // capacity now.
 func (p DispatchPart) Eligible(t *cowsliproute.Target) bool {
-	return t.Available() && slices.ContainsFunc(p.Versions.Sets(), func(s cowsliproute.VersionSet) bool { return s.Allows(t.Info().Version) })
+	return t.Available() && slices.ContainsFunc(p.Versions.Sets(), func(s cowsliproute.VersionSet) bool { return s.AllowsTarget(t.Info()) })
 }
 
 // delay returns how long after now a replica may be asked for the part, as far as the pace and
--- a/cowslipquery/replicas.go
+++ b/cowslipquery/replicas.go
@@ -30,7 +30,7 @@
 func (d *Dispatch) hasUntriedReplica(n int, version cowsliproute.VersionSet, ownDomain bool) bool {
 	return slices.ContainsFunc(d.options.Parts[n].Replicas, func(t *cowsliproute.Target) bool {
 		i := t.Info()
-		if !version.Allows(i.Version) || ownDomain && i.FailureDomain != d.options.View.FailureDomain() || t.Leaving() {
+		if !version.AllowsTarget(i) || ownDomain && i.FailureDomain != d.options.View.FailureDomain() || t.Leaving() {
 			return false
 		}
 		return !slices.Contains(d.parts[n].tried, t)
--- a/cowsliproute/service.go
+++ b/cowsliproute/service.go
@@ -26,6 +26,7 @@
 	ID             string
 	From, To       string             // an empty From means all versions except To
 	RouteShares    map[string]float64 // fraction of each route's requests sent to To; a route that is not listed sends only canary requests to To
+	LoadTarget     string             // ID of the only target that gets these requests, any of To if empty
 	Canary         bool               // this process may send canary requests, one at a time
 	Stopped        bool               // no request may go to To
 	Done           bool               // all requests go to To
@@ -117,6 +118,9 @@
 		before = ExceptVersion(m.To)
 	}
 	share, known := m.RouteShares[route]
+	if known && !m.Done {
+		after = after.onTarget(m.LoadTarget)
+	}
 	r := VersionRule{Usual: VersionPreference{Preferred: before}, Moved: VersionPreference{Preferred: after, Fallback: before, HasFallback: true}}
 	switch {
 	case m.Done:
--- a/cowsliproute/version.go
+++ b/cowsliproute/version.go
@@ -3,6 +3,7 @@
 // VersionSet is a set of target versions. The zero value contains all versions.
 type VersionSet struct {
 	only, except string
+	target       string // ID of the only target of these versions that may be asked, any if empty
 }
 
 // OnlyVersion returns a set of a single version, or of all versions if v is empty.
@@ -12,6 +13,17 @@
 // empty.
 func ExceptVersion(v string) VersionSet { return VersionSet{except: v} }
 
+// onTarget returns the set restricted to the target with an ID. An empty ID restricts nothing.
+func (s VersionSet) onTarget(id string) VersionSet {
+	s.target = id
+	return s
+}
+
+// AllowsTarget reports whether a target may be asked.
+func (s VersionSet) AllowsTarget(i TargetInfo) bool {
+	return s.Allows(i.Version) && (s.target == "" || s.target == i.ID)
+}
+
 // Allows reports whether the set contains v.
 func (s VersionSet) Allows(v string) bool {
 	return (s.only == "" || v == s.only) && (s.except == "" || v != s.except)
@@ -20,6 +32,8 @@
 // String returns the set in words.
 func (s VersionSet) String() string {
 	switch {
+	case s.target != "":
+		return s.only + " on target " + s.target
 	case s.only != "":
 		return s.only
 	case s.except != "":
--- a/cowsliproute/view.go
+++ b/cowsliproute/view.go
@@ -165,7 +165,7 @@
 // Obstacle returns why Pick does not choose a replica, or the empty string if it may. Of several
 // obstacles, it returns the one that is likely to last longest.
 func (v *View) Obstacle(t *Target, o PickOptions) Obstacle {
-	if !o.Version.Allows(t.info.Version) {
+	if !o.Version.AllowsTarget(t.info) {
 		return OtherVersion
 	}
 	if o.OwnDomainOnly && t.info.FailureDomain != v.domain {
