Answers: what has no status is no answer

What callers saw, tried after reports of similar systems: a target answers with status 000. Statuses 000 to 099 and "+20" were taken for interim responses, so that a request that runs once at most waited for its deadline (504 after 5 s); 600 and 999 were passed on as answers; a refusal with such a status was the proof that a record had not run.

Cause: http.ReadResponse takes any three characters that are a number for a status, and the readers only compared it with what they expect. The class: bytes of others are taken for what they resemble.

Change: IsFinalStatus says what a status is, 200 to 599, besides interim responses but 101, and a response must be of HTTP/1. Anything else is handled at once like a response that breaks off. The readers of the store, of the usage interface, of the own platform and of the command line check it before they read a body.

--- a/cowslipentry/relay.go
+++ b/cowslipentry/relay.go
@@ -116,6 +116,12 @@
 // how late the answer is, as for an answer of this instance.
 func (f *forward) relayedReply(x cowslippeer.RelayResult) Reply {
 	a := x.Reply
+	switch ReplyKind(a.GetKind()) {
+	case ReplyGathered, ReplyNotRun, ReplyFailed, ReplyTimeout, ReplyNoRoute, ReplyUnauthorized:
+	default:
+		f.log.Warn("relayed answer has no known kind", "id", f.request.ID, "kind", a.GetKind())
+		return f.failureReply("the instance that served the request gave no valid answer")
+	}
 	f.observeLag(int(a.GetMissing()))
 	return Reply{
 		Kind: ReplyKind(a.GetKind()), Reason: a.GetReason(), RetryAfter: time.Duration(a.GetRetryAfterMicros()) * time.Microsecond,
--- a/cowslipplatform/http.go
+++ b/cowslipplatform/http.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"cowslipflow/cowsliptarget"
+
 	"github.com/juju/errors"
 )
 
@@ -118,6 +120,9 @@
 		return errors.Annotate(err, "cowslipplatform: send request")
 	}
 	defer p.Body.Close()
+	if !cowsliptarget.IsFinalStatus(p.StatusCode) {
+		return errors.Errorf("cowslipplatform: %s %s: %q is not a status", method, path, p.Status)
+	}
 	b, err := io.ReadAll(http.MaxBytesReader(nil, p.Body, maxReplyBytes))
 	if err != nil {
 		return errors.Annotate(err, "cowslipplatform: read reply")
--- a/cowsliptarget/client.go
+++ b/cowsliptarget/client.go
@@ -203,6 +203,10 @@
 		return x.errorOutcome(ctx)
 	}
 	defer p.Body.Close()
+	if !IsFinalStatus(p.StatusCode) {
+		x.closeConn()
+		return Corrupt
+	}
 	v := c.buffers.Reserve()
 	defer v.Release()
 	b, err := v.ReadAll(p.Body, p.ContentLength, maxReplyBytes)
--- a/cowsliptarget/forwarder.go
+++ b/cowsliptarget/forwarder.go
@@ -35,6 +35,9 @@
 	// idleTimeoutMargin is subtracted from the idle timeout that a target advertises.
 	// A connection that has been idle for longer than the result is not reused.
 	idleTimeoutMargin = 700 * time.Millisecond
+	// errNoResponse means that the head of a response has no status, or that of a protocol that
+	// was not asked for.
+	errNoResponse = errors.ConstError("cowsliptarget: response has no valid status")
 	// errLongHead means that the head of a response exceeds maxHeadBytes.
 	errLongHead = errors.ConstError("cowsliptarget: response head exceeds its limit")
 	// defaultIdleTimeout applies to targets that advertise no idle timeout.
@@ -131,9 +134,19 @@
 	c.inHead, c.headBytes = true, maxHeadBytes
 	p, err := http.ReadResponse(c.read, &http.Request{Method: method})
 	c.inHead = false
+	if err == nil && !isResponse(p) {
+		return nil, errNoResponse
+	}
 	return p, err
 }
 
+// isResponse reports whether what was read is a response in the protocol, or an interim one.
+// http.ReadResponse takes any three characters for a status that are a number, and any version.
+func isResponse(p *http.Response) bool {
+	interim := p.StatusCode >= http.StatusContinue && p.StatusCode < http.StatusOK && p.StatusCode != http.StatusSwitchingProtocols
+	return p.ProtoMajor == 1 && (interim || IsFinalStatus(p.StatusCode))
+}
+
 // Do sends a request and returns the target's response. The outcome is OK for a
 // complete response to this request, whatever its status; otherwise it says how
 // the request failed. When ctx ends, Do closes the connection, which cancels the
--- a/httpclient.go
+++ b/httpclient.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"cowslipflow/cowslipentry"
+	"cowslipflow/cowsliptarget"
 )
 
 // maxAnswerBytes limits the size of an answer that the client reads.
@@ -65,6 +66,9 @@
 	if b, err = io.ReadAll(http.MaxBytesReader(nil, p.Body, maxAnswerBytes)); err != nil {
 		return exitErrorf(exitFailed, "incomplete answer from %s: %v", s.url, err)
 	}
+	if !cowsliptarget.IsFinalStatus(p.StatusCode) {
+		return exitErrorf(exitFailed, "no answer from %s: %q is not a status", s.url, p.Status)
+	}
 	if p.StatusCode != http.StatusOK {
 		return decodeRefusal(p.StatusCode, b)
 	}
