Stop: requests may begin while a stop waits for those in flight

Cause: drain waits on a WaitGroup for the requests in flight while further ones begin on connections that were accepted before; a WaitGroup must not be added to from zero while a Wait returns. The tasks in the background had the same fault.

Change: running counts what runs, may be added to at any time, and tells when nothing runs. It holds the requests in flight and the tasks in the background.

--- a/cowslipentry/caller.go
+++ b/cowslipentry/caller.go
@@ -69,8 +69,8 @@
 }
 
 func (e *Entry) handleQuery(ctx context.Context, c *app.RequestContext) {
-	e.requests.Add(1)
-	defer e.requests.Done()
+	e.requests.Begin()
+	defer e.requests.End()
 	var q QueryRequest
 	if r := decode(c, &q); r != nil {
 		sendRefusal(c, r)
@@ -96,8 +96,8 @@
 }
 
 func (e *Entry) handleRecord(ctx context.Context, c *app.RequestContext) {
-	e.requests.Add(1)
-	defer e.requests.Done()
+	e.requests.Begin()
+	defer e.requests.End()
 	var q RecordRequest
 	if r := decode(c, &q); r != nil {
 		sendRefusal(c, r)
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -122,9 +122,9 @@
 	registered      chan struct{} // signals that this instance is on the list of entry instances again
 	ready           atomic.Bool
 	draining        atomic.Bool
-	requests        sync.WaitGroup // requests of callers in flight
-	background      sync.WaitGroup // tasks that may outlive the request that started them
-	activeTasks     sync.Map       // running tasks that must not run twice at once; the key is the target for a probe, otherwise the name
+	requests        running  // requests of callers in flight
+	background      running  // tasks that may outlive the request that started them
+	activeTasks     sync.Map // running tasks that must not run twice at once; the key is the target for a probe, otherwise the name
 	metrics         *Metrics
 	learner         learner
 	reportLogs      rate.Sometimes // limits the log lines about malformed load reports
@@ -305,11 +305,6 @@
 	}
 	e.sleep(e.ctx, e.opts.DrainWait)
 	e.do(func(_ time.Time, c *cowslipcontrol.Control) { c.Leave() })
-	done := make(chan struct{})
-	go func() {
-		e.requests.Wait()
-		close(done)
-	}()
 	if e.opts.Edge != nil {
 		// Connections that were accepted before are served within the grace period,
 		// while no new ones are accepted.
@@ -317,7 +312,7 @@
 		defer cancel()
 		callers.Stop(t)
 	}
-	finished := e.awaitRequests(began, done)
+	finished := e.awaitRequests(began, e.requests.Idle())
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	if e.opts.Edge == nil {
--- a/cowslipentry/forward.go
+++ b/cowslipentry/forward.go
@@ -121,8 +121,8 @@
 // early if ctx ends because the caller has disconnected. The Response of the Reply must be
 // released once it is written. Forward is safe for concurrent use.
 func (e *Entry) Forward(ctx context.Context, r Request) Reply {
-	e.requests.Add(1)
-	defer e.requests.Done()
+	e.requests.Begin()
+	defer e.requests.End()
 	f := &forward{Entry: e, request: r, view: e.view.Load(), start: e.clock.Now().Add(-r.elapsed), arrival: e.pauses.now()}
 	if f.view == nil || f.view.Revision() == 0 {
 		return notRunReply(unconfiguredReason, shortRetryAfter)
