--- a/cowslipcontrol/move.go
+++ b/cowslipcontrol/move.go
@@ -17,7 +17,7 @@
 	rampStart          = 0.2  // until here the planned share stays at initialShare while evidence is gathered
 	rampEnd            = 0.7  // from here the planned share of the new version is 1
 	earliestDone       = 0.9  // from here the move may be recorded as done
-	earliestDoneByFew  = 0.93 // likewise, with few recent requests to the new version, each of which tells more
+	earliestDoneByFew  = 0.93 // likewise, if a route has had few requests to the new version lately, each of which tells more
 	lowTrafficStart    = 0.8  // from here a route with fewer than lowTrafficRequests may move without evidence of its own
 	lowTrafficRequests = 60   // requests to the old version on that route
 	evidenceDeadline   = 0.95 // from here the move is stopped if a route with traffic lacks evidence or has not fully moved, or its version is in doubt
@@ -250,13 +250,15 @@
 
 // earliestDone returns the fraction of its time from which the move may be recorded as done.
 func (m *move) earliestDone() float64 {
-	n := uint64(0)
 	since, _ := m.checkpointAgo(halfAgo)
+	recent := map[string]uint64{}
 	for k, x := range m.comparisons {
-		n += x.requests - since.comparisons[k].requests
+		recent[k.route] += x.requests - since.comparisons[k].requests
 	}
-	if n < lowTrafficRequests {
-		return earliestDoneByFew
+	for route := range m.routes {
+		if recent[route] < lowTrafficRequests {
+			return earliestDoneByFew
+		}
 	}
 	return earliestDone
 }
