--- a/review/_third/drill.go
+++ b/review/_third/drill.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -26,21 +27,9 @@
 		x.log.add("note", "text", "not ready")
 		return failed
 	}
-	stop := make(chan struct{})
-	var w sync.WaitGroup
-	for i, n := range nodes {
-		for _, p := range []string{"/ficha/7", "/archivo/7", "/nueva/7"} {
-			w.Go(func() {
-				for k := 0; ; k++ {
-					select {
-					case <-stop:
-						return
-					case <-time.After(250 * time.Millisecond):
-					}
-					n.send(x.log, "GET", host, p, fmt.Sprintf("q%d%s%d", i, p[1:3], k), 6*time.Second, nil)
-				}
-			})
-		}
+	var callers []*callers
+	for k, p := range []string{"/ficha/", "/archivo/", "/nueva/"} {
+		callers = append(callers, startCallers(x.log, nodes, 1, 250*time.Millisecond, "GET", host, p, fmt.Sprintf("q%d", k), nil))
 	}
 	time.Sleep(12 * time.Second)
 	if x.trouble {
@@ -63,11 +52,14 @@
 	time.Sleep(due)
 	// The operator takes the old replicas away once the version is due everywhere.
 	x.log.add("draining", "service", "terreno")
+	var w sync.WaitGroup
 	for _, b := range old {
 		w.Go(func() { b.drain(8 * time.Second) })
 	}
 	time.Sleep(20 * time.Second)
-	close(stop)
+	for _, c := range callers {
+		c.end()
+	}
 	w.Wait()
 	return judgeDrill(x.log, acked+due)
 }
@@ -92,9 +84,9 @@
 		switch p, s := e.fields["path"], e.fields["status"]; {
 		case s == "200":
 			good++
-		case p == "/nueva/7" && s == "404":
+		case strings.HasPrefix(p, "/nueva/") && s == "404":
 			refused++
-		case p == "/ficha/7":
+		case strings.HasPrefix(p, "/ficha/"):
 			unserved++
 		}
 	}
