Review, case 13: the next order gives a version that was rolled back its traffic again

Cause: an order moves from all versions but the new one, so also from one that was just rolled back and has not drained yet. Change: a script with two orders, the second right after rolled_back.

--- a/review/_third/main.go
+++ b/review/_third/main.go
@@ -31,7 +31,7 @@
 }
 
 func run(name, folder string) (status int) {
-	cases := map[string]func(*setup) int{"drill": drillCase, "redo": redoCase}
+	cases := map[string]func(*setup) int{"drill": drillCase, "redo": redoCase, "orders": ordersCase}
 	f := cases[name]
 	if f == nil {
 		fmt.Fprintln(os.Stderr, "no such case:", name)
