--- a/cowslipcontrol/accepted.go
+++ b/cowslipcontrol/accepted.go
@@ -2,10 +2,10 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"time"
 
 	"cowslipflow/cowslipconfig"
+	"cowslipflow/cowslipplatform"
 	"cowslipflow/cowslipworkspace"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,10 +16,11 @@
 const ConfigKey = "cowslipflow/config"
 
 // Accepted is an accepted configuration as the platform stores it. Revision
-// grows with each accepted edit and never falls.
+// grows with each accepted edit and never falls within an era of the platform's store.
 type Accepted struct {
 	Revision   uint64               `json:"revision"`
-	EditID     string               `json:"editId"` // shows whether a write whose response was lost took effect
+	Era        uint64               `json:"era,omitempty"` // of the store, if Revision is that of the store
+	EditID     string               `json:"editId"`        // shows whether a write whose response was lost took effect
 	By         string               `json:"by"`
 	AcceptedAt time.Time            `json:"acceptedAt"`
 	MoveStarts map[string]time.Time `json:"moveStarts"` // by move ID
@@ -41,6 +42,12 @@
 	return a, nil
 }
 
+// At returns the point in the store's history, or in that of the edits, at which the
+// configuration was accepted.
+func (a Accepted) At() cowslipplatform.Revision {
+	return cowslipplatform.NewRevision(a.Era, a.Revision)
+}
+
 // Next returns the value to store after an edit that replaces the receiver's text.
 // Moves that the receiver already has keep their start time.
 func (a Accepted) Next(text string, c *cowslipconfig.Config, editID, by string, now time.Time) Accepted {
@@ -66,12 +73,12 @@
 // its revision is higher than the present one and its text is valid. It reports
 // whether the offered configuration is now in force.
 func (c *Control) Offer(a Accepted, from string) bool {
-	if a.Revision <= c.accepted.Revision {
-		return a.Revision == c.accepted.Revision && a.EditID == c.accepted.EditID
+	if x := a.At().Compare(c.accepted.At()); x <= 0 {
+		return x == 0 && a.EditID == c.accepted.EditID
 	}
 	n, err := cowslipconfig.Parse([]byte(a.Text))
 	if err != nil {
-		c.o.Event("configRejected", fmt.Sprint(a.Revision), err.Error())
+		c.o.Event("configRejected", a.At().String(), err.Error())
 		return false
 	}
 	c.reportDomains(c.config, n)
@@ -79,7 +86,7 @@
 	c.digest = xxhash.Sum64String(a.Text)
 	c.config = n
 	c.workspaces = cowslipworkspace.NewDirectory(n)
-	c.o.Event("configInForce", fmt.Sprint(a.Revision), "learned from "+from)
+	c.o.Event("configInForce", a.At().String(), "learned from "+from)
 	c.applyServices()
 	c.applyRoutes()
 	c.applyMoves()
--- a/cowslipcontrol/clearing.go
+++ b/cowslipcontrol/clearing.go
@@ -4,17 +4,19 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"cowslipflow/cowslipplatform"
 )
 
 // SharedClearing tells other instances that targets of a service have answered a request under
 // which targets of that service had crashed.
 type SharedClearing struct {
-	Fingerprint uint64 `json:"fingerprint,string"`
-	Family      uint64 `json:"family,string,omitempty"`
-	Copies      uint64 `json:"copies,string,omitempty"`
-	Content     uint64 `json:"content,string,omitempty"`
-	Service     string `json:"service"`
-	Revision    uint64 `json:"-"` // of the store, grows each time the request is cleared
+	Fingerprint uint64                   `json:"fingerprint,string"`
+	Family      uint64                   `json:"family,string,omitempty"`
+	Copies      uint64                   `json:"copies,string,omitempty"`
+	Content     uint64                   `json:"content,string,omitempty"`
+	Service     string                   `json:"service"`
+	Revision    cowslipplatform.Revision `json:"-"` // of the store, grows each time the request is cleared
 }
 
 // subjects returns the fingerprints of all that the answer clears.
@@ -35,16 +37,18 @@
 // nothing else.
 func (c *Control) UpdateClearings(now time.Time, l []SharedClearing) {
 	known := c.clearings
-	c.clearings = make(map[clearingKey]uint64, len(l))
-	c.clearedUpTo = make(map[clearingKey]uint64, len(l))
+	c.clearings = make(map[clearingKey]cowslipplatform.Revision, len(l))
+	c.clearedUpTo = make(map[clearingKey]cowslipplatform.Revision, len(l))
 	for _, x := range l {
 		for _, f := range x.subjects() {
 			k := clearingKey{f, x.Service}
-			c.clearedUpTo[k] = max(c.clearedUpTo[k], x.Revision)
+			if x.Revision.After(c.clearedUpTo[k]) {
+				c.clearedUpTo[k] = x.Revision
+			}
 		}
 		k := clearingKey{x.Fingerprint, x.Service}
 		c.clearings[k] = x.Revision
-		if known == nil || x.Revision <= known[k] {
+		if known == nil || !x.Revision.After(known[k]) {
 			continue
 		}
 		n := len(c.crashes)
@@ -61,6 +65,8 @@
 // uncleared returns what a crash in the store still says after the clearings that the store has
 // accepted since, and reports whether it says anything.
 func (c *Control) uncleared(s SharedCrash) (SharedCrash, bool) {
-	since := func(f uint64) bool { return s.Revision > 0 && c.clearedUpTo[clearingKey{f, s.Service}] > s.Revision }
+	since := func(f uint64) bool {
+		return !s.Revision.IsZero() && c.clearedUpTo[clearingKey{f, s.Service}].After(s.Revision)
+	}
 	return s.Without(since), !since(s.Fingerprint)
 }
--- a/cowslipcontrol/clearing_test.go
+++ b/cowslipcontrol/clearing_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cowslipflow/cowslipcontrol"
+	"cowslipflow/cowslipplatform"
 	"cowslipflow/cowsliproute"
 
 	"github.com/stretchr/testify/require"
@@ -20,7 +21,7 @@
 		return cowslipcontrol.SharedCrash{Fingerprint: fingerprint, Incident: incident, EndedRun: "i/" + incident, Service: service, Version: "v1"}
 	}
 	clearing := func(service string, revision uint64) []cowslipcontrol.SharedClearing {
-		return []cowslipcontrol.SharedClearing{{Fingerprint: fingerprint, Service: service, Revision: revision}}
+		return []cowslipcontrol.SharedClearing{{Fingerprint: fingerprint, Service: service, Revision: cowslipplatform.NewRevision(0, revision)}}
 	}
 	for _, c := range []struct {
 		name          string
@@ -64,7 +65,7 @@
 func TestClearingsBeforeTheStart(t *testing.T) {
 	const fingerprint, family, content = 7, 8, 9
 	crash := func(n int, revision uint64) cowslipcontrol.SharedCrash {
-		return cowslipcontrol.SharedCrash{Fingerprint: fingerprint, Family: family, Content: content, Incident: fmt.Sprint("q", n), EndedRun: fmt.Sprint("h", n), Service: "households", Revision: revision}
+		return cowslipcontrol.SharedCrash{Fingerprint: fingerprint, Family: family, Content: content, Incident: fmt.Sprint("q", n), EndedRun: fmt.Sprint("h", n), Service: "households", Revision: cowslipplatform.NewRevision(0, revision)}
 	}
 	for _, c := range []struct {
 		name    string
@@ -81,7 +82,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			x := cowslipcontrol.New(cowslipcontrol.Options{ID: "e1", ListOnly: true}, t0)
-			x.UpdateClearings(t0, []cowslipcontrol.SharedClearing{{Fingerprint: c.clears, Family: family, Content: content, Service: c.service, Revision: 5}})
+			x.UpdateClearings(t0, []cowslipcontrol.SharedClearing{{Fingerprint: c.clears, Family: family, Content: content, Service: c.service, Revision: cowslipplatform.NewRevision(0, 5)}})
 			x.UpdateSharedCrashes(t0, c.crashes)
 			x.Tick(t0)
 			require.Equal(t, c.want, x.View().CrashVerdict(fingerprint))
--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -7,6 +7,7 @@
 
 	"cowslipflow/cowslipconfig"
 	"cowslipflow/cowslipmessage"
+	"cowslipflow/cowslipplatform"
 	"cowslipflow/cowsliproute"
 	"cowslipflow/cowslipworkspace"
 )
@@ -126,8 +127,8 @@
 	routesDirty     bool
 	clearedSuspects map[uint64]map[string]time.Time // when targets last answered a suspect request, by fingerprint and service
 	view            *cowsliproute.View
-	clearings       map[clearingKey]uint64 // revisions of those in the store, nil before it was read
-	clearedUpTo     map[clearingKey]uint64 // revisions of the last ones in the store, by fingerprint
+	clearings       map[clearingKey]cowslipplatform.Revision // revisions of those in the store, nil before it was read
+	clearedUpTo     map[clearingKey]cowslipplatform.Revision // revisions of the last ones in the store, by fingerprint
 	crashVerdicts   map[uint64]cowsliproute.Suspicion
 	holds           map[uint64]*hold      // that the store shows, by content of the requests
 	newHolds        map[uint64]SharedHold // that the store must be told of, by content of the requests
@@ -138,13 +139,13 @@
 
 // Effects are the actions that the control state requests from its process.
 type Effects struct {
-	Repair   bool                      // write the configuration in force to the store, which holds an older revision
-	Outcomes []*cowslipmessage.Outcome // record these outcomes of moves
-	Started  []cowslipconfig.Move      // record that these moves have started
-	Expected map[string]uint64         // by move ID: the revision that its record in the store has if nothing has changed since Outcomes and Started were decided
-	Crashes  []SharedCrash             // tell the other instances of these crashes
-	Holds    []SharedHold              // write these holds to the store
-	Push     bool                      // exchange state with all peers immediately
+	Repair   bool                                // write the configuration in force to the store, which holds an older revision
+	Outcomes []*cowslipmessage.Outcome           // record these outcomes of moves
+	Started  []cowslipconfig.Move                // record that these moves have started
+	Expected map[string]cowslipplatform.Revision // by move ID: the revision that its record in the store has if nothing has changed since Outcomes and Started were decided
+	Crashes  []SharedCrash                       // tell the other instances of these crashes
+	Holds    []SharedHold                        // write these holds to the store
+	Push     bool                                // exchange state with all peers immediately
 }
 
 // New returns a Control that starts at now.
--- a/cowslipcontrol/exchange.go
+++ b/cowslipcontrol/exchange.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cowslipflow/cowslipmessage"
+	"cowslipflow/cowslipplatform"
 )
 
 // State returns the message for the peer with the given ID. With Options.ListOnly, it
@@ -13,7 +14,7 @@
 func (c *Control) State(now time.Time, id string) *cowslipmessage.State {
 	s := &cowslipmessage.State{
 		Id: c.o.ID, FailureDomain: c.o.FailureDomain, Incarnation: c.o.Incarnation, Addr: c.o.Addr, Leaving: c.leaving,
-		Revision: c.accepted.Revision, ConfirmedAgeMillis: -1, Seq: c.seq, Crashes: c.crashMessages(now),
+		Revision: c.accepted.Revision, Era: c.accepted.Era, ConfirmedAgeMillis: -1, Seq: c.seq, Crashes: c.crashMessages(now),
 	}
 	for i := range c.moves {
 		for k, x := range c.moves[i].localEvidence {
@@ -42,7 +43,7 @@
 	}
 	s.HaveSeq = p.haveSeq
 	s.Targets = c.rowsAfter(now, p.ackSeq)
-	if p.revision < c.accepted.Revision {
+	if p.revision.Before(c.accepted.At()) {
 		// Encoding a decoded value cannot fail.
 		s.Accepted, _ = c.accepted.Encode()
 	}
@@ -91,7 +92,7 @@
 	}
 	if !start.IsZero() {
 		p.lastExchange = start
-		if s.GetConfirmedAgeMillis() >= 0 && s.GetRevision() == c.accepted.Revision && s.GetRevision() > 0 {
+		if s.GetConfirmedAgeMillis() >= 0 && revisionOf(s) == c.accepted.At() && s.GetRevision() > 0 {
 			c.confirm(start.Add(-time.Duration(s.GetConfirmedAgeMillis()) * time.Millisecond))
 		}
 	}
@@ -128,7 +129,12 @@
 	}
 	p.leaving = s.GetLeaving()
 	p.lastMessage = now
-	p.revision = s.GetRevision()
+	p.revision = revisionOf(s)
+}
+
+// revisionOf returns the revision of the configuration that the sender of a state has in force.
+func revisionOf(s *cowslipmessage.State) cowslipplatform.Revision {
+	return cowslipplatform.NewRevision(s.GetEra(), s.GetRevision())
 }
 
 func (c *Control) mergeStop(x *cowslipmessage.Stop) {
--- a/cowslipcontrol/freshness.go
+++ b/cowslipcontrol/freshness.go
@@ -26,7 +26,7 @@
 	if a.Revision > 0 {
 		c.Offer(a, "the platform")
 	}
-	if a.Revision < c.accepted.Revision {
+	if a.At().Before(c.accepted.At()) {
 		if c.platform.reportedBehind != a.Revision+1 {
 			c.platform.reportedBehind = a.Revision + 1
 			c.o.Event("storeBehind", fmt.Sprint(a.Revision), fmt.Sprintf("revision %d stays in force", c.accepted.Revision))
@@ -100,7 +100,7 @@
 	c.scope = s
 	switch s {
 	case cowsliproute.ScopeAll:
-		c.o.Event("confirmed", c.o.ID, fmt.Sprintf("revision %d", c.accepted.Revision))
+		c.o.Event("confirmed", c.o.ID, "revision "+c.accepted.At().String())
 	case cowsliproute.ScopeOwnDomain:
 		c.o.Event("cutOff", c.o.ID, "only targets of failure domain "+c.o.FailureDomain+" are asked")
 	}
@@ -119,7 +119,7 @@
 			continue
 		}
 		n++
-		if p.revision > c.accepted.Revision || p.lastExchange.IsZero() {
+		if p.revision.After(c.accepted.At()) || p.lastExchange.IsZero() {
 			return time.Time{}, false
 		}
 		if p.lastExchange.Before(t) {
--- a/cowslipcontrol/membership.go
+++ b/cowslipcontrol/membership.go
@@ -69,9 +69,9 @@
 	lastMessage             time.Time // last message or answer
 	lastExchange            time.Time // when it last answered a call; for an exchange of state, when the exchange began
 	refusedAt               time.Time
-	revision                uint64
-	haveSeq                 uint64 // highest sequence number of its rows that this instance has received
-	ackSeq                  uint64 // highest sequence number of this instance's rows that it has received
+	revision                cowslipplatform.Revision // of its configuration in force
+	haveSeq                 uint64                   // highest sequence number of its rows that this instance has received
+	ackSeq                  uint64                   // highest sequence number of this instance's rows that it has received
 	evidence                map[evidenceKey]counts
 	evidenceAt              time.Time // when evidence was last received
 }
--- a/cowslipcontrol/moverecord.go
+++ b/cowslipcontrol/moverecord.go
@@ -4,20 +4,21 @@
 	"time"
 
 	"cowslipflow/cowslipmessage"
+	"cowslipflow/cowslipplatform"
 )
 
 // moveRecord is what the platform's store shows of a move.
 type moveRecord struct {
-	revision uint64 // of its key, 0 if the key does not exist
-	asOf     uint64 // revision of the store that shows it
-	started  bool   // that the move runs or has run is recorded
+	revision cowslipplatform.Revision // of its key, zero if the key does not exist
+	asOf     cowslipplatform.Revision // of the store that shows it
+	started  bool                     // that the move runs or has run is recorded
 }
 
 // MoveRecordRead handles the record of a move that the store showed at its revision asOf: the
-// revision of the record's key, 0 if there is none, and whether the record says that the move
+// revision of the record's key, zero if there is none, and whether the record says that the move
 // has started. Older records are ignored. Outcomes are handled by Outcome.
-func (c *Control) MoveRecordRead(id string, revision, asOf uint64, started bool) {
-	if r, ok := c.moveRecords[id]; !ok || asOf >= r.asOf {
+func (c *Control) MoveRecordRead(id string, revision, asOf cowslipplatform.Revision, started bool) {
+	if r, ok := c.moveRecords[id]; !ok || !asOf.Before(r.asOf) {
 		c.moveRecords[id] = moveRecord{revision: revision, asOf: asOf, started: started}
 	}
 }
@@ -30,7 +31,7 @@
 
 func (c *Control) expectRecord(id string) {
 	if c.effects.Expected == nil {
-		c.effects.Expected = map[string]uint64{}
+		c.effects.Expected = map[string]cowslipplatform.Revision{}
 	}
 	c.effects.Expected[id] = c.moveRecords[id].revision
 }
--- a/cowslipcontrol/quarantine.go
+++ b/cowslipcontrol/quarantine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cowslipflow/cowslipmessage"
+	"cowslipflow/cowslipplatform"
 	"cowslipflow/cowsliproute"
 )
 
@@ -81,21 +82,21 @@
 
 // SharedCrash is a crash as instances tell each other through the store.
 type SharedCrash struct {
-	Fingerprint uint64    `json:"fingerprint,string"`
-	Family      uint64    `json:"family,string,omitempty"`
-	Copies      uint64    `json:"copies,string,omitempty"`
-	Content     uint64    `json:"content,string,omitempty"`
-	Sent        time.Time `json:"sent"`
-	Ended       time.Time `json:"ended"`
-	Incident    string    `json:"incident"`
-	EndedRun    string    `json:"endedRun"` // identifies the run of the target that ended
-	Service     string    `json:"service"`
-	Version     string    `json:"version"`
-	Partial     bool      `json:"partial,omitempty"`  // targets of other services answered the request
-	Answered    bool      `json:"answered,omitempty"` // another sending of the request was answered shortly before
-	Trial       bool      `json:"trial,omitempty"`    // the request was sent after a hold
-	Wide        bool      `json:"wide,omitempty"`     // the request was sent to several services
-	Revision    uint64    `json:"-"`                  // of the store; 0 if it is not known
+	Fingerprint uint64                   `json:"fingerprint,string"`
+	Family      uint64                   `json:"family,string,omitempty"`
+	Copies      uint64                   `json:"copies,string,omitempty"`
+	Content     uint64                   `json:"content,string,omitempty"`
+	Sent        time.Time                `json:"sent"`
+	Ended       time.Time                `json:"ended"`
+	Incident    string                   `json:"incident"`
+	EndedRun    string                   `json:"endedRun"` // identifies the run of the target that ended
+	Service     string                   `json:"service"`
+	Version     string                   `json:"version"`
+	Partial     bool                     `json:"partial,omitempty"`  // targets of other services answered the request
+	Answered    bool                     `json:"answered,omitempty"` // another sending of the request was answered shortly before
+	Trial       bool                     `json:"trial,omitempty"`    // the request was sent after a hold
+	Wide        bool                     `json:"wide,omitempty"`     // the request was sent to several services
+	Revision    cowslipplatform.Revision `json:"-"`                  // of the store; zero if it is not known
 }
 
 // Shared returns the crash as instances tell each other.
--- a/cowslipcontrol/report.go
+++ b/cowslipcontrol/report.go
@@ -11,7 +11,8 @@
 	ID            string          `json:"id"`
 	FailureDomain string          `json:"failureDomain"`
 	Revision      uint64          `json:"revision"`
-	Scope         string          `json:"scope"` // which targets may be asked: all, own (those of its failure domain) or none
+	Era           uint64          `json:"era,omitempty"` // of the platform's store, if Revision is that of the store
+	Scope         string          `json:"scope"`         // which targets may be asked: all, own (those of its failure domain) or none
 	Leaving       bool            `json:"leaving"`
 	PlatformDown  bool            `json:"platformDown"`
 	InForce       []string        `json:"inForce"`      // instances that lately reported this revision in force
@@ -84,14 +85,14 @@
 // Status reports the status of this instance and its services.
 func (c *Control) Status(now time.Time) Status {
 	s := Status{
-		ID: c.o.ID, FailureDomain: c.o.FailureDomain, Revision: c.accepted.Revision, Scope: c.freshness.Scope(now).String(),
+		ID: c.o.ID, FailureDomain: c.o.FailureDomain, Revision: c.accepted.Revision, Era: c.accepted.Era, Scope: c.freshness.Scope(now).String(),
 		Leaving: c.leaving, PlatformDown: c.platform.down, InForce: []string{c.o.ID}, NotConfirmed: []string{},
 	}
 	for i := range c.peers {
 		p := &c.peers[i]
 		switch {
 		case p.gone():
-		case p.revision == c.accepted.Revision && now.Sub(p.lastMessage) < livenessTimeout:
+		case p.revision == c.accepted.At() && now.Sub(p.lastMessage) < livenessTimeout:
 			s.InForce = append(s.InForce, p.id)
 		default:
 			s.NotConfirmed = append(s.NotConfirmed, p.id)
--- a/cowslipcontrol/requesthold.go
+++ b/cowslipcontrol/requesthold.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"cowslipflow/cowslipplatform"
 	"cowslipflow/cowsliproute"
 )
 
@@ -23,14 +24,14 @@
 // were tried since. It outlasts the crashes: whatever makes instances forget these, the
 // requests are sent only as trials, whose order is that of the hold's revisions in the store.
 type SharedHold struct {
-	Content  uint64    `json:"content,string"`     // of the requests
-	Subjects []uint64  `json:"subjects"`           // fingerprints of what is held: requests, families, copies or the content
-	Services []string  `json:"services,omitempty"` // whose targets crashed
-	Whole    bool      `json:"whole,omitempty"`    // no target answered the request
-	Answered bool      `json:"answered,omitempty"` // another sending was answered shortly before the crashes
-	Trials   int       `json:"trials"`             // that were begun
-	At       time.Time `json:"at"`                 // of the hold or its last trial
-	Revision uint64    `json:"-"`                  // of the store; 0 if the store does not show the hold
+	Content  uint64                   `json:"content,string"`     // of the requests
+	Subjects []uint64                 `json:"subjects"`           // fingerprints of what is held: requests, families, copies or the content
+	Services []string                 `json:"services,omitempty"` // whose targets crashed
+	Whole    bool                     `json:"whole,omitempty"`    // no target answered the request
+	Answered bool                     `json:"answered,omitempty"` // another sending was answered shortly before the crashes
+	Trials   int                      `json:"trials"`             // that were begun
+	At       time.Time                `json:"at"`                 // of the hold or its last trial
+	Revision cowslipplatform.Revision `json:"-"`                  // of the store; zero if the store does not show the hold
 }
 
 // Expired reports whether the hold is over at now, whether or not a trial was answered.
@@ -72,7 +73,7 @@
 
 // lift is the part of a hold that has ended at this instance and that the store still shows.
 type lift struct {
-	revision uint64 // of the hold
+	revision cowslipplatform.Revision // of the hold
 	subjects []uint64
 }
 
@@ -84,7 +85,7 @@
 	known, lifts := c.holds, c.lifts
 	c.holds, c.lifts = make(map[uint64]*hold, len(l)), map[uint64]lift{}
 	for _, s := range l {
-		if x, ok := lifts[s.Content]; ok && s.Revision <= x.revision {
+		if x, ok := lifts[s.Content]; ok && !s.Revision.After(x.revision) {
 			c.lifts[s.Content] = x
 			s = s.without(x.subjects)
 		}
@@ -142,7 +143,7 @@
 
 // HoldWritten records that the store has accepted a hold, at its Revision.
 func (c *Control) HoldWritten(now time.Time, s SharedHold) {
-	if h := c.holds[s.Content]; h == nil || h.Revision < s.Revision {
+	if h := c.holds[s.Content]; h == nil || h.Revision.Before(s.Revision) {
 		c.addHold(now, s, h)
 		c.crashesDirty = true
 	}
--- a/cowslipcontrol/requesthold_test.go
+++ b/cowslipcontrol/requesthold_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cowslipflow/cowslipcontrol"
+	"cowslipflow/cowslipplatform"
 	"cowslipflow/cowsliproute"
 
 	"github.com/stretchr/testify/require"
@@ -61,7 +62,7 @@
 
 // write writes a hold to the store if it has not changed since.
 func (w *holdFleet) write(x *cowslipcontrol.Control, s cowslipcontrol.SharedHold) bool {
-	known := uint64(0)
+	known := cowslipplatform.Revision{}
 	if w.hold != nil {
 		known = w.hold.Revision
 	}
@@ -69,7 +70,7 @@
 		return false
 	}
 	w.revision++
-	s.Revision = w.revision
+	s.Revision = cowslipplatform.NewRevision(0, w.revision)
 	w.hold = &s
 	x.HoldWritten(w.now, s)
 	return true
@@ -226,7 +227,7 @@
 func TestAnswerLiftsOnlyWhatItSpeaksFor(t *testing.T) {
 	const copies = 700
 	x := cowslipcontrol.New(cowslipcontrol.Options{ID: "e1", ListOnly: true}, t0)
-	h := cowslipcontrol.SharedHold{Content: heldContent, Subjects: []uint64{copies, heldContent}, Services: []string{"households"}, Trials: 1, At: t0, Revision: 5}
+	h := cowslipcontrol.SharedHold{Content: heldContent, Subjects: []uint64{copies, heldContent}, Services: []string{"households"}, Trials: 1, At: t0, Revision: cowslipplatform.NewRevision(0, 5)}
 	verdicts := func() []cowsliproute.CrashVerdict {
 		x.UpdateHolds(t0, []cowslipcontrol.SharedHold{h})
 		x.Tick(t0)
@@ -245,7 +246,7 @@
 	require.True(t, lifted)
 	require.Empty(t, left.Subjects)
 	require.Equal(t, []cowsliproute.CrashVerdict{cowsliproute.Harmless, cowsliproute.Harmless}, verdicts())
-	h.Revision = 6
+	h.Revision = cowslipplatform.NewRevision(0, 6)
 	require.Equal(t, []cowsliproute.CrashVerdict{cowsliproute.Quarantined, cowsliproute.Quarantined}, verdicts(), "it is held again")
 }
 
@@ -261,13 +262,13 @@
 	}{{"lost", false, false, true}, {"crashed", true, false, false}, {"another trial since", false, true, false}} {
 		t.Run(c.name, func(t *testing.T) {
 			x := cowslipcontrol.New(cowslipcontrol.Options{ID: "e1", ListOnly: true}, t0)
-			h := cowslipcontrol.SharedHold{Content: heldContent, Subjects: subjects, Services: []string{"a", "b"}, Trials: 1, At: t0, Revision: 5}
+			h := cowslipcontrol.SharedHold{Content: heldContent, Subjects: subjects, Services: []string{"a", "b"}, Trials: 1, At: t0, Revision: cowslipplatform.NewRevision(0, 5)}
 			x.UpdateHolds(t0, []cowslipcontrol.SharedHold{h})
 			if c.crashed {
 				x.Crashed(t0, cowslipcontrol.Crash{Fingerprint: heldFingerprint, Content: heldContent, Incident: "q1", Target: cowsliproute.NewTarget(cowsliproute.TargetInfo{ID: "h1", Service: "a"})})
 			}
 			if c.later {
-				h.Trials, h.Revision = 2, 6
+				h.Trials, h.Revision = 2, cowslipplatform.NewRevision(0, 6)
 				x.UpdateHolds(t0, []cowslipcontrol.SharedHold{h})
 				h.Trials = 1
 			}
@@ -280,7 +281,7 @@
 		})
 	}
 	x := cowslipcontrol.New(cowslipcontrol.Options{ID: "e1", ListOnly: true}, t0)
-	x.UpdateHolds(t0, []cowslipcontrol.SharedHold{{Content: heldContent, Subjects: subjects, Services: []string{"a", "b"}, At: t0, Revision: 5}})
+	x.UpdateHolds(t0, []cowslipcontrol.SharedHold{{Content: heldContent, Subjects: subjects, Services: []string{"a", "b"}, At: t0, Revision: cowslipplatform.NewRevision(0, 5)}})
 	asked := []string{"a", "b", "c"}
 	left, changed := x.LiftHold(heldContent, subjects, map[string]bool{"a": true, "c": true}, asked)
 	require.True(t, changed)
@@ -299,7 +300,7 @@
 			x := cowslipcontrol.New(cowslipcontrol.Options{ID: "e1", ListOnly: true, AnsweredSince: func(_, _ time.Time, fingerprint uint64) bool {
 				return answered && fingerprint == heldContent
 			}}, t0)
-			h := cowslipcontrol.SharedHold{Content: heldContent, Subjects: []uint64{heldFingerprint}, Services: []string{"a"}, At: t0, Revision: 5}
+			h := cowslipcontrol.SharedHold{Content: heldContent, Subjects: []uint64{heldFingerprint}, Services: []string{"a"}, At: t0, Revision: cowslipplatform.NewRevision(0, 5)}
 			for now := t0; now.Sub(t0) <= 6*time.Second; now = now.Add(time.Second) {
 				x.UpdateHolds(now, []cowslipcontrol.SharedHold{h})
 				x.Tick(now)
--- a/cowslipentry/clearing.go
+++ b/cowslipentry/clearing.go
@@ -27,7 +27,7 @@
 
 // decodeClearings returns the clearings among the store's values, with their revisions.
 func (e *Entry) decodeClearings(values []cowslipplatform.Value) []cowslipcontrol.SharedClearing {
-	return decodeRevisions(e, values, clearingsPrefix, func(x *cowslipcontrol.SharedClearing, revision uint64) { x.Revision = revision })
+	return decodeRevisions(e, values, clearingsPrefix, func(x *cowslipcontrol.SharedClearing, revision cowslipplatform.Revision) { x.Revision = revision })
 }
 
 // shareClearings tells the other instances that the services have answered the request, if
--- a/cowslipentry/crashqueue.go
+++ b/cowslipentry/crashqueue.go
@@ -34,7 +34,7 @@
 
 // crashLease is the lease of the crashes that an instance writes. The zero value is none.
 type crashLease struct {
-	id        uint64
+	id        cowslipplatform.Lease
 	grantedAt time.Time
 }
 
@@ -93,11 +93,11 @@
 
 // decodeCrashes returns the crashes among the store's values, with their revisions.
 func (e *Entry) decodeCrashes(values []cowslipplatform.Value) []cowslipcontrol.SharedCrash {
-	return decodeRevisions(e, values, crashesPrefix, func(s *cowslipcontrol.SharedCrash, revision uint64) { s.Revision = revision })
+	return decodeRevisions(e, values, crashesPrefix, func(s *cowslipcontrol.SharedCrash, revision cowslipplatform.Revision) { s.Revision = revision })
 }
 
 // decodeRevisions decodes the values below a prefix, and sets the revision of each.
-func decodeRevisions[T any](e *Entry, values []cowslipplatform.Value, prefix string, set func(x *T, revision uint64)) []T {
+func decodeRevisions[T any](e *Entry, values []cowslipplatform.Value, prefix string, set func(x *T, revision cowslipplatform.Revision)) []T {
 	var l []T
 	for _, v := range valuesBelow(values, prefix) {
 		for _, x := range decodeAll[T](e.log, []cowslipplatform.Value{v}) {
--- a/cowslipentry/edge.go
+++ b/cowslipentry/edge.go
@@ -45,9 +45,9 @@
 
 // MoveRecord is the state of a move as recorded in the store.
 type MoveRecord struct {
-	Move     string    // its ID
-	State    MoveState // empty if none is recorded
-	Revision uint64    // of the key that holds it, 0 if the key does not exist
+	Move     string                   // its ID
+	State    MoveState                // empty if none is recorded
+	Revision cowslipplatform.Revision // of the key that holds it, zero if the key does not exist
 }
 
 // StoreContents are the decoded values of the store.
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -132,8 +132,8 @@
 	cancel          context.CancelFunc
 	answering       context.Context // ends when a stopping instance must answer all requests
 	endAnswering    context.CancelFunc
-	answerBy        atomic.Pointer[time.Time] // when that is, nil before the stop
-	leaseID         atomic.Uint64
+	answerBy        atomic.Pointer[time.Time]             // when that is, nil before the stop
+	lease           atomic.Pointer[cowslipplatform.Lease] // of the entry on the list of instances, nil if there is none
 
 	mirror        *cowslipmirror.Mirror
 	firstMirrored atomic.Pointer[time.Time] // when the mirror first had content
@@ -341,8 +341,8 @@
 	e.do(func(_ time.Time, c *cowslipcontrol.Control) { c.Leave() })
 	t, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	if l := e.leaseID.Swap(0); l != 0 {
-		if err := e.opts.Store.Revoke(t, l); err != nil {
+	if l := e.lease.Swap(nil); l != nil {
+		if err := e.opts.Store.Revoke(t, *l); err != nil {
 			e.log.Warn("lease not revoked", "error", err)
 		}
 	}
--- a/cowslipentry/follow.go
+++ b/cowslipentry/follow.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
 )
 
 // Constants for mirroring the store. In each failure domain, one instance is the
@@ -83,7 +84,7 @@
 // its failure domain, or its mirror is empty or older than takeoverAge.
 func (e *Entry) storeLoop() {
 	for e.ctx.Err() == nil {
-		old := e.mirror.Revision() == 0 || e.clock.Since(e.contentFrom()) > e.takeoverAge()
+		old := e.mirror.Revision().IsZero() || e.clock.Since(e.contentFrom()) > e.takeoverAge()
 		switch {
 		case !old && !e.storeSources().ReadsStore:
 			e.sleep(e.ctx, e.shareOfStaleAge(ageCheckShare))
@@ -107,7 +108,7 @@
 		if e.isMirrorFresh() {
 			return cowslipcontrol.Member{}
 		}
-		if len(s.OtherReaders) == 0 && len(s.OtherInstances) == 0 && e.mirror.Revision() == 0 {
+		if len(s.OtherReaders) == 0 && len(s.OtherInstances) == 0 && e.mirror.Revision().IsZero() {
 			s.OtherReaders = seeds
 		}
 		return pickOtherSource(s, n, rand.IntN)
@@ -131,7 +132,7 @@
 // instances can hardly have newer content. Then only the reader of this instance's
 // failure domain is asked.
 func (e *Entry) isMirrorFresh() bool {
-	return e.mirror.Revision() > 0 && e.clock.Since(e.mirror.ConfirmedAt()) < e.shareOfStaleAge(otherSourcesShare)
+	return !e.mirror.Revision().IsZero() && e.clock.Since(e.mirror.ConfirmedAt()) < e.shareOfStaleAge(otherSourcesShare)
 }
 
 // followLoop updates the mirror by long polls of the peers that next returns. It
@@ -176,7 +177,7 @@
 // isMirrorUsable reports whether callers may be served from the mirror at now: it is
 // confirmed, or confirmationWait is over.
 func (e *Entry) isMirrorUsable(now time.Time) bool {
-	return e.isMirrorConfirmed() || e.mirror.Revision() > 0 && now.Sub(e.contentFrom()) >= confirmationWait
+	return e.isMirrorConfirmed() || !e.mirror.Revision().IsZero() && now.Sub(e.contentFrom()) >= confirmationWait
 }
 
 func (e *Entry) followRetryInterval() time.Duration {
@@ -218,7 +219,7 @@
 	}
 	e.applyUpdate(u, "the store")
 	switch {
-	case more && u.Revision > u.From:
+	case more && u.Revision.After(u.From):
 		return 0
 	case !e.isMirrorConfirmed() && e.storeSources().ReadsStore:
 		return 0
@@ -230,13 +231,16 @@
 	e.metrics.storeCalls.Add(1)
 	began := e.clock.Now()
 	r := e.mirror.Revision()
-	if r > 0 {
+	if !r.IsZero() {
 		wait := e.shareOfStaleAge(storeWaitShare)
 		if !e.isMirrorConfirmed() {
 			wait = 0
 		}
 		l, to, err := e.opts.Store.Changes(e.ctx, e.opts.StoreCodec.Prefix, r, wait)
-		u := cowslipmirror.Update{From: r, Revision: max(to, r), Changes: l}
+		if to.Before(r) {
+			to = r
+		}
+		u := cowslipmirror.Update{From: r, Revision: to, Changes: l}
 		switch {
 		case err == nil:
 			u.ConfirmedAt = e.confirmedBy(began)
@@ -244,13 +248,13 @@
 		case errors.Is(err, cowslipplatform.ErrMoreChanges):
 			return u, err
 		}
-		if !errors.Is(err, cowslipplatform.ErrCompacted) {
+		if !errors.Is(err, cowslipplatform.ErrCompacted) && !errors.Is(err, cowslipplatform.ErrEraEnded) {
 			return cowslipmirror.Update{}, err
 		}
-		e.event("historyLost", "", "reading all keys again")
+		e.event("historyLost", r.String(), "reading all keys again: "+err.Error())
 	}
 	// The first listing may be stale, as such a call costs a tenth. It confirms nothing.
-	stale := r == 0
+	stale := r.IsZero()
 	l, err := e.opts.Store.Scan(e.ctx, e.opts.StoreCodec.Prefix, stale)
 	if err != nil {
 		return cowslipmirror.Update{}, err
@@ -271,7 +275,8 @@
 	ctx, cancel := context.WithTimeout(e.ctx, wait+followTimeoutMargin)
 	defer cancel()
 	began := e.clock.Now()
-	p, err := k.Follow(ctx, &cowslipmessage.FollowRequest{Revision: e.mirror.Revision(), WaitMillis: wait.Milliseconds()})
+	r := e.mirror.Revision()
+	p, err := k.Follow(ctx, &cowslipmessage.FollowRequest{Revision: r.Number(), Era: proto.Uint64(r.Era()), WaitMillis: wait.Milliseconds()})
 	if err != nil {
 		e.log.Debug("mirror not updated from peer", "peer", m.ID, "addr", m.Addr, "error", err)
 		e.do(func(now time.Time, c *cowslipcontrol.Control) {
@@ -286,16 +291,18 @@
 		}
 	})
 	e.applyUpdate(updateFromReply(p, e.confirmedBy(began)), "peer "+m.ID)
-	return p.GetRevision() > 0
+	// A peer that is still in an earlier era, or states none, has nothing to tell.
+	return p.GetRevision() > 0 && p.GetEra() >= r.Era()
 }
 
 func updateFromReply(p *cowslipmessage.FollowReply, now time.Time) cowslipmirror.Update {
-	u := cowslipmirror.Update{Full: p.GetWhole(), From: p.GetFrom(), Revision: p.GetRevision()}
+	at := func(n uint64) cowslipplatform.Revision { return cowslipplatform.NewRevision(p.GetEra(), n) }
+	u := cowslipmirror.Update{Full: p.GetWhole(), From: at(p.GetFrom()), Revision: at(p.GetRevision())}
 	if a := p.GetAgeMillis(); a >= 0 {
 		u.ConfirmedAt = now.Add(-time.Duration(a) * time.Millisecond)
 	}
 	for _, c := range p.GetChanges() {
-		u.Changes = append(u.Changes, cowslipplatform.Change{Value: cowslipplatform.Value{Key: c.GetKey(), Data: c.GetData(), Revision: c.GetRevision()}, Removed: c.GetRemoved()})
+		u.Changes = append(u.Changes, cowslipplatform.Change{Value: cowslipplatform.Value{Key: c.GetKey(), Data: c.GetData(), Revision: at(c.GetRevision())}, Removed: c.GetRemoved()})
 	}
 	return u
 }
@@ -320,58 +327,20 @@
 func (e *Entry) onFollow(ctx context.Context, r *cowslipmessage.FollowRequest) (*cowslipmessage.FollowReply, error) {
 	t, cancel := context.WithTimeout(ctx, time.Duration(r.GetWaitMillis())*time.Millisecond)
 	defer cancel()
-	if r.GetRevision() > 0 {
-		e.mirror.Wait(t, r.GetRevision())
+	after := cowslipplatform.NewRevision(r.GetEra(), r.GetRevision())
+	if r.Era == nil {
+		after = cowslipplatform.NewRevision(e.mirror.Revision().Era(), r.GetRevision())
 	}
-	u := e.mirror.Since(r.GetRevision())
-	p := &cowslipmessage.FollowReply{Whole: u.Full, From: u.From, Revision: u.Revision, AgeMillis: -1, Isolated: e.isolatedSince.Load() != 0}
+	if !after.IsZero() {
+		e.mirror.Wait(t, after)
+	}
+	u := e.mirror.Since(after)
+	p := &cowslipmessage.FollowReply{Whole: u.Full, From: u.From.Number(), Revision: u.Revision.Number(), Era: u.Revision.Era(), AgeMillis: -1, Isolated: e.isolatedSince.Load() != 0}
 	if !u.ConfirmedAt.IsZero() {
 		p.AgeMillis = e.clock.Since(u.ConfirmedAt).Milliseconds()
 	}
 	for _, c := range u.Changes {
-		p.Changes = append(p.Changes, &cowslipmessage.Change{Key: c.Key, Data: c.Data, Revision: c.Revision, Removed: c.Removed})
+		p.Changes = append(p.Changes, &cowslipmessage.Change{Key: c.Key, Data: c.Data, Revision: c.Revision.Number(), Removed: c.Removed})
 	}
 	return p, nil
 }
-
-// applyUpdate applies an update to the mirror and passes the new content to the
-// control state. It handles one update at a time, so that older content from one
-// source cannot reach the control state after newer content from another one.
-func (e *Entry) applyUpdate(u cowslipmirror.Update, from string) {
-	e.applyMu.Lock()
-	defer e.applyMu.Unlock()
-	before := e.mirror.ConfirmedAt()
-	outage := !before.IsZero() && e.clock.Since(before) > e.staleAge()
-	if !e.mirror.Apply(u) {
-		return
-	}
-	if e.firstMirrored.Load() == nil {
-		now := e.clock.Now()
-		e.firstMirrored.Store(&now)
-	}
-	values := e.mirror.Values()
-	b, problems := e.currentSettings().storeCodec.Decode(values)
-	e.storeProblems.update(e.log, problems)
-	r := e.mirror.Revision()
-	members := e.decodeMembers(values)
-	crashes := e.decodeCrashes(values)
-	e.guardSharedCrashes(crashes)
-	clearings, holds := e.decodeClearings(values), e.decodeHolds(values)
-	e.do(func(now time.Time, c *cowslipcontrol.Control) {
-		c.UpdateMembers(now, members)
-		c.UpdateClearings(now, clearings)
-		c.UpdateSharedCrashes(now, crashes)
-		c.UpdateHolds(now, holds)
-		if b.ConfigText != "" && b.ConfigText != c.Accepted().Text {
-			c.Offer(cowslipcontrol.Accepted{Revision: r, Text: b.ConfigText}, from)
-		}
-		if outage {
-			c.StoreReturned(now.Add(lapseReturnTime + e.shareOfStaleAge(changeShare)))
-		}
-		c.UpdateTargets(now, b.Targets)
-		if before.IsZero() && e.isMirrorConfirmed() {
-			c.RemoveUnlisted()
-		}
-		applyMoveRecords(c, r, b.Moves...)
-	})
-}
--- a/cowslipentry/follow_test.go
+++ b/cowslipentry/follow_test.go
@@ -40,14 +40,14 @@
 	require.NoError(t, err)
 	close(e.loopDone) // there is no control loop; the test checks only the decoded content
 	change := func(n uint64) cowslipplatform.Change {
-		return cowslipplatform.Change{Value: cowslipplatform.Value{Key: "k", Data: []byte(strconv.FormatUint(n, 10)), Revision: n}}
+		return cowslipplatform.Change{Value: cowslipplatform.Value{Key: "k", Data: []byte(strconv.FormatUint(n, 10)), Revision: cowslipplatform.NewRevision(0, n)}}
 	}
-	e.applyUpdate(cowslipmirror.Update{Full: true, Revision: 1, Changes: []cowslipplatform.Change{change(1)}}, "test")
+	e.applyUpdate(cowslipmirror.Update{Full: true, Revision: cowslipplatform.NewRevision(0, 1), Changes: []cowslipplatform.Change{change(1)}}, "test")
 	var w sync.WaitGroup
 	for range 3 {
 		w.Go(func() {
 			for n := uint64(1); n < 2000; n++ {
-				e.applyUpdate(cowslipmirror.Update{From: n, Revision: n + 1, Changes: []cowslipplatform.Change{change(n + 1)}}, "test")
+				e.applyUpdate(cowslipmirror.Update{From: cowslipplatform.NewRevision(0, n), Revision: cowslipplatform.NewRevision(0, n+1), Changes: []cowslipplatform.Change{change(n + 1)}}, "test")
 			}
 		})
 	}
@@ -80,7 +80,7 @@
 	c := clocktesting.NewFakeClock(time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC))
 	e := &Entry{opts: Options{Bounds: Bounds{Apply: 4500 * time.Millisecond}}, clock: c, mirror: &cowslipmirror.Mirror{}}
 	require.False(t, e.isMirrorFresh(), "the mirror is empty")
-	e.mirror.Apply(cowslipmirror.Update{Full: true, Revision: 1, ConfirmedAt: c.Now()})
+	e.mirror.Apply(cowslipmirror.Update{Full: true, Revision: cowslipplatform.NewRevision(0, 1), ConfirmedAt: c.Now()})
 	require.True(t, e.isMirrorFresh())
 	c.Step(time.Second)
 	require.True(t, e.isMirrorFresh())
--- a/cowslipentry/loop.go
+++ b/cowslipentry/loop.go
@@ -6,6 +6,7 @@
 
 	"cowslipflow/cowslipcontrol"
 	"cowslipflow/cowslipmessage"
+	"cowslipflow/cowslipplatform"
 )
 
 // controlLoop owns the control state. It runs commands between ticks. Each tick
@@ -111,7 +112,7 @@
 
 // recordMoveOutcomes records the outcomes of moves, with at most one task per move at
 // a time. expected are the revisions of their records on which they were decided.
-func (e *Entry) recordMoveOutcomes(l []*cowslipmessage.Outcome, expected map[string]uint64) {
+func (e *Entry) recordMoveOutcomes(l []*cowslipmessage.Outcome, expected map[string]cowslipplatform.Revision) {
 	for _, o := range l {
 		e.startRetried("outcome/"+o.GetMove(), func(ctx context.Context) time.Duration {
 			return e.recordMoveOutcome(ctx, o, expected[o.GetMove()])
--- a/cowslipentry/metrics.go
+++ b/cowslipentry/metrics.go
@@ -41,6 +41,7 @@
 	tickNanos         *expvar.Int
 	samplesLost       *expvar.Int
 	storeCalls        *expvar.Int
+	storeEras         *expvar.Int // eras of the store that began while this process ran
 	poolFull          *expvar.Int
 	reportsRejected   *expvar.Int // load reports of targets that are malformed
 
@@ -76,7 +77,7 @@
 	m.warningsSent, m.warningsReceived, m.warningsDropped = n("crashWarningsSent"), n("crashWarningsReceived"), n("crashWarningsDropped")
 	m.crashesNotShared = n("targetCrashesNotShared")
 	m.probes, m.exchanges, m.ticks, m.tickNanos = n("probes"), n("exchanges"), n("ticks"), n("tickNanos")
-	m.storeCalls = n("storeCalls")
+	m.storeCalls, m.storeEras = n("storeCalls"), n("storeEras")
 	m.samplesLost, m.poolFull = n("samplesLost"), n("poolFull")
 	m.reportsRejected = n("loadReportsRejected")
 	m.relayed, m.relaysFailed = n("relayed"), n("relaysFailed")
@@ -94,6 +95,9 @@
 func (e *Entry) publishState() {
 	e.metrics.vars.Set("state", expvar.Func(func() any { return e.state() }))
 	e.metrics.vars.Set("storeProblems", expvar.Func(func() any { return e.storeProblems.status().Count }))
+	if f := e.opts.Store; f != nil && f.UnreadableEras != nil {
+		e.metrics.vars.Set("storeErasUnreadable", expvar.Func(func() any { return f.UnreadableEras() }))
+	}
 	e.metrics.vars.Set("learnedTargets", expvar.Func(func() any { return e.learner.table.Status(e.clock.Now()) }))
 	e.metrics.vars.Set("admission", expvar.Func(func() any { return e.admissions.status(e.clock.Now()) }))
 }
--- a/cowslipentry/moverecord_test.go
+++ b/cowslipentry/moverecord_test.go
@@ -75,7 +75,7 @@
 			p := cowslipstandin.NewPlatform(nil)
 			s := p.Store("e1")
 			put, tried := s.Put, make(chan bool, 1)
-			s.Put = func(ctx context.Context, w cowslipplatform.Write) (uint64, error) {
+			s.Put = func(ctx context.Context, w cowslipplatform.Write) (cowslipplatform.Revision, error) {
 				n, err := put(ctx, w)
 				select {
 				case tried <- true:
@@ -83,15 +83,16 @@
 				}
 				return n, err
 			}
-			write := func(v MoveState, expect uint64) uint64 {
+			write := func(v MoveState, expect cowslipplatform.Revision) cowslipplatform.Revision {
 				n, err := put(t.Context(), cowslipplatform.Write{Key: moveStatusKey, Data: []byte(v), Expect: expect})
 				require.NoError(t, err)
 				return n
 			}
-			revision, expect := write("other", 0), uint64(0)
+			none := cowslipplatform.Revision{}
+			revision, expect := write("other", none), none
 			require.NoError(t, s.Delete(t.Context(), moveStatusKey, revision))
 			if x.before != "" {
-				expect = write(x.before, 0)
+				expect = write(x.before, none)
 			}
 			e, c := newStillEntryWith(t, Options{ID: "e1", Store: s, StoreCodec: moveCodec(), Edge: func(*Entry) (Edge, error) { return Edge{}, nil }}, time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC))
 			l, err := s.Scan(t.Context(), "", false)
--- a/cowslipentry/moves.go
+++ b/cowslipentry/moves.go
@@ -29,7 +29,7 @@
 
 // applyMoveRecords passes the records of moves that the store showed at its revision asOf to the
 // control state.
-func applyMoveRecords(c *cowslipcontrol.Control, asOf uint64, l ...MoveRecord) {
+func applyMoveRecords(c *cowslipcontrol.Control, asOf cowslipplatform.Revision, l ...MoveRecord) {
 	for _, x := range l {
 		c.MoveRecordRead(x.Move, x.Revision, asOf, x.State != "")
 		if x.State == MoveDone || x.State == MoveTakenBack {
@@ -41,7 +41,7 @@
 // recordOutcomeWithCodec records the outcome of a move in the format of a platform with
 // its own Edge, in place of the revision of its record on which the outcome was decided. It
 // returns the time after which it may be tried again.
-func (e *Entry) recordOutcomeWithCodec(ctx context.Context, o *cowslipmessage.Outcome, expect uint64) time.Duration {
+func (e *Entry) recordOutcomeWithCodec(ctx context.Context, o *cowslipmessage.Outcome, expect cowslipplatform.Revision) time.Duration {
 	var m cowslipconfig.Move
 	found := false
 	e.do(func(_ time.Time, c *cowslipcontrol.Control) {
@@ -68,14 +68,14 @@
 // recordMoveState replaces the record of a move if the store still holds the expected revision
 // of its key. It reports whether the write succeeded, and the time after which another one may
 // be tried.
-func (e *Entry) recordMoveState(ctx context.Context, m cowslipconfig.Move, s MoveState, expect uint64) (written bool, wait time.Duration) {
+func (e *Entry) recordMoveState(ctx context.Context, m cowslipconfig.Move, s MoveState, expect cowslipplatform.Revision) (written bool, wait time.Duration) {
 	t, cancel := context.WithTimeout(ctx, platformCallTimeout)
 	defer cancel()
 	k, b := e.currentSettings().storeCodec.EncodeMove(m, s)
 	n, err := e.opts.Store.Put(t, cowslipplatform.Write{Key: k, Data: b, Expect: expect})
 	if err != nil {
-		e.log.Warn("moveNotRecorded", "move", m.ID(), "state", string(s), "expected", expect, "error", err)
-		if errors.Is(err, cowslipplatform.ErrConflict) && e.readMoveRecord(t, m, k) {
+		e.log.Warn("moveNotRecorded", "move", m.ID(), "state", string(s), "expected", expect.String(), "error", err)
+		if (errors.Is(err, cowslipplatform.ErrConflict) || errors.Is(err, cowslipplatform.ErrEraEnded)) && e.readMoveRecord(t, m, k) {
 			return false, 0
 		}
 		return false, moveRecordRetryInterval
@@ -94,7 +94,7 @@
 		return false
 	}
 	r := e.currentSettings().storeCodec.DecodeMove(m, v)
-	e.log.Info("record of a move differs from the expected one", "move", m.ID(), "state", string(r.State), "revision", r.Revision)
+	e.log.Info("record of a move differs from the expected one", "move", m.ID(), "state", string(r.State), "revision", r.Revision.String())
 	e.do(func(_ time.Time, c *cowslipcontrol.Control) { applyMoveRecords(c, v.Revision, r) })
 	return true
 }
--- a/cowslipentry/operator.go
+++ b/cowslipentry/operator.go
@@ -138,15 +138,15 @@
 // readStored returns the newest accepted configuration and the revision to expect of
 // the key in the next write to the store. If the store holds an older configuration
 // than the one in force, the latter is returned.
-func (e *Entry) readStored(ctx context.Context) (cowslipcontrol.Accepted, uint64, *Refusal) {
+func (e *Entry) readStored(ctx context.Context) (cowslipcontrol.Accepted, cowslipplatform.Revision, *Refusal) {
 	var a cowslipcontrol.Accepted
 	v, err := e.opts.Store.Get(ctx, cowslipcontrol.ConfigKey)
 	if err != nil && !errors.Is(err, cowslipplatform.ErrNotFound) {
-		return a, 0, refuse(CodePlatformDown, "the platform does not answer; nothing was accepted")
+		return a, cowslipplatform.Revision{}, refuse(CodePlatformDown, "the platform does not answer; nothing was accepted")
 	}
 	if err == nil {
 		if a, err = cowslipcontrol.DecodeAccepted(v.Data); err != nil {
-			return a, 0, refuse(CodeConflict, "the stored configuration cannot be read: "+err.Error())
+			return a, cowslipplatform.Revision{}, refuse(CodeConflict, "the stored configuration cannot be read: "+err.Error())
 		}
 	}
 	e.do(func(_ time.Time, k *cowslipcontrol.Control) {
@@ -159,7 +159,7 @@
 // storeAccepted writes an accepted configuration to the store. If the response is
 // lost, it reads the key back until the outcome is known or ctx ends. An outcome that
 // is still unknown then is reported as CodeUnknown, not as a failure.
-func (e *Entry) storeAccepted(ctx context.Context, a cowslipcontrol.Accepted, expect uint64) (ApplyAnswer, *Refusal) {
+func (e *Entry) storeAccepted(ctx context.Context, a cowslipcontrol.Accepted, expect cowslipplatform.Revision) (ApplyAnswer, *Refusal) {
 	b, err := a.Encode()
 	if err != nil {
 		return ApplyAnswer{}, refuse(CodeBadRequest, err.Error())
--- a/cowslipentry/platform.go
+++ b/cowslipentry/platform.go
@@ -29,7 +29,7 @@
 // watchLoop reads the configuration by long polls. Each response, with or without a
 // change, confirms the revision in force.
 func (e *Entry) watchLoop() {
-	var seen uint64
+	var seen cowslipplatform.Revision
 	for e.ctx.Err() == nil {
 		start := e.clock.Now()
 		ctx, cancel := context.WithTimeout(e.ctx, watchWait+platformCallTimeout)
@@ -137,8 +137,8 @@
 func (e *Entry) renewLease() error {
 	ctx, cancel := context.WithTimeout(e.ctx, platformCallTimeout)
 	defer cancel()
-	if l := e.leaseID.Load(); l != 0 {
-		err := e.opts.Store.KeepAlive(ctx, l)
+	if l := e.lease.Load(); l != nil {
+		err := e.opts.Store.KeepAlive(ctx, *l)
 		if !errors.Is(err, cowslipplatform.ErrLeaseExpired) {
 			return err
 		}
@@ -160,7 +160,7 @@
 	if _, err := e.opts.Store.Put(ctx, cowslipplatform.Write{Key: k, Data: b, Expect: v.Revision, Lease: l}); err != nil {
 		return err
 	}
-	e.leaseID.Store(l)
+	e.lease.Store(&l)
 	select {
 	case e.registered <- struct{}{}:
 	default:
@@ -198,7 +198,7 @@
 // recordMoveOutcome records the outcome of a move, which was decided on the expected revision of
 // its record. If another instance has recorded one already, that one applies. It returns the
 // time after which the outcome may be recorded again.
-func (e *Entry) recordMoveOutcome(ctx context.Context, o *cowslipmessage.Outcome, expect uint64) time.Duration {
+func (e *Entry) recordMoveOutcome(ctx context.Context, o *cowslipmessage.Outcome, expect cowslipplatform.Revision) time.Duration {
 	if e.opts.Edge != nil {
 		return e.recordOutcomeWithCodec(ctx, o, expect)
 	}
--- a/cowslipentry/reporting_test.go
+++ b/cowslipentry/reporting_test.go
@@ -64,7 +64,7 @@
 func TestUndecodedValuesAreLogged(t *testing.T) {
 	var b bytes.Buffer
 	l := decodeAll[cowslipcontrol.Member](slog.New(slog.NewJSONHandler(&b, nil)), []cowslipplatform.Value{
-		{Key: "entries/bad", Data: []byte("?"), Revision: 3}, {Key: "entries/e2", Data: []byte(`{"id":"e2"}`)},
+		{Key: "entries/bad", Data: []byte("?"), Revision: cowslipplatform.NewRevision(0, 3)}, {Key: "entries/e2", Data: []byte(`{"id":"e2"}`)},
 	})
 	require.Len(t, l, 1)
 	require.Equal(t, "e2", l[0].ID)
--- a/cowslipentry/requesthold.go
+++ b/cowslipentry/requesthold.go
@@ -33,7 +33,7 @@
 
 // decodeHolds returns the holds among the store's values, with their revisions.
 func (e *Entry) decodeHolds(values []cowslipplatform.Value) []cowslipcontrol.SharedHold {
-	l := decodeRevisions(e, values, holdsPrefix, func(s *cowslipcontrol.SharedHold, revision uint64) { s.Revision = revision })
+	l := decodeRevisions(e, values, holdsPrefix, func(s *cowslipcontrol.SharedHold, revision cowslipplatform.Revision) { s.Revision = revision })
 	for _, s := range l {
 		if s.Expired(e.clock.Now()) {
 			e.removeHold(s)
@@ -59,7 +59,7 @@
 	for _, s := range l {
 		k := holdKey(s.Content)
 		e.startThrottled(k, holdWriteInterval, func(ctx context.Context) {
-			if s.Revision == 0 {
+			if s.Revision.IsZero() {
 				e.makeRoomForHold()
 			}
 			if _, err := e.writeHold(ctx, s, platformCallTimeout); err != nil {
--- a/cowslipentry/restart_test.go
+++ b/cowslipentry/restart_test.go
@@ -32,23 +32,23 @@
 		answered bool // the store answers a call for changes
 	}{{"the store answers", true}, {"the store is lost after the listing", false}} {
 		t.Run(c.name, func(t *testing.T) {
-			asked, answer := make(chan uint64, 10), make(chan bool)
+			asked, answer := make(chan cowslipplatform.Revision, 10), make(chan bool)
 			s := &cowslipplatform.Store{
 				Scan: func(_ context.Context, _ string, stale bool) (cowslipplatform.Listing, error) {
 					require.True(t, stale, "the first listing is a cheap one")
-					return cowslipplatform.Listing{Revision: 5, Values: []cowslipplatform.Value{{Key: "h0", Revision: 5}}}, nil
+					return cowslipplatform.Listing{Revision: cowslipplatform.NewRevision(0, 5), Values: []cowslipplatform.Value{{Key: "h0", Revision: cowslipplatform.NewRevision(0, 5)}}}, nil
 				},
-				Changes: func(ctx context.Context, _ string, after uint64, _ time.Duration) ([]cowslipplatform.Change, uint64, error) {
+				Changes: func(ctx context.Context, _ string, after cowslipplatform.Revision, _ time.Duration) ([]cowslipplatform.Change, cowslipplatform.Revision, error) {
 					asked <- after
 					select {
 					case <-answer:
 					case <-ctx.Done():
-						return nil, 0, ctx.Err()
+						return nil, cowslipplatform.Revision{}, ctx.Err()
 					}
 					if !c.answered {
-						return nil, 0, errors.New("no answer")
+						return nil, cowslipplatform.Revision{}, errors.New("no answer")
 					}
-					return []cowslipplatform.Change{{Value: cowslipplatform.Value{Key: "h0", Revision: 6}, Removed: true}}, 6, nil
+					return []cowslipplatform.Change{{Value: cowslipplatform.Value{Key: "h0", Revision: cowslipplatform.NewRevision(0, 6)}, Removed: true}}, cowslipplatform.NewRevision(0, 6), nil
 				},
 			}
 			e, clock := newStillEntry(t, "e1", s)
@@ -72,7 +72,7 @@
 				require.Eventually(t, func() bool { return e.metrics.ticks.Value() > n }, waitLimit, time.Millisecond)
 			}
 			e.background.Go(e.storeLoop)
-			require.EqualValues(t, 5, <-asked, "the changes since the listing are asked for at once")
+			require.Equal(t, cowslipplatform.NewRevision(0, 5), <-asked, "the changes since the listing are asked for at once")
 			tick()
 			require.Equal(t, 1, targets())
 			require.False(t, e.Ready(), "the listing may be old")
@@ -85,7 +85,7 @@
 				return
 			}
 			require.Eventually(t, func() bool { tick(); return e.Ready() }, waitLimit, time.Millisecond)
-			require.EqualValues(t, 6, e.mirror.Revision())
+			require.Equal(t, cowslipplatform.NewRevision(0, 6), e.mirror.Revision())
 		})
 	}
 }
--- a/cowslipentry/usage.go
+++ b/cowslipentry/usage.go
@@ -266,7 +266,7 @@
 		u.log.Warn("holder of usage reports not decoded", "error", err)
 		return h, 0, false
 	}
-	return h, v.Revision, true
+	return h, v.Revision.Number(), true
 }
 
 // countLoop sends the counts of this process to the holder.
--- a/cowslipmirror/mirror.go
+++ b/cowslipmirror/mirror.go
@@ -16,11 +16,12 @@
 const maxHistoryChanges = 4096
 
 // Update is a transfer of content to a mirror: all content if Full, otherwise the
-// changes after revision From. Either brings the mirror to Revision.
+// changes after revision From, which is of the same era as Revision. Either brings the
+// mirror to Revision.
 type Update struct {
 	Full        bool
-	From        uint64
-	Revision    uint64
+	From        cowslipplatform.Revision
+	Revision    cowslipplatform.Revision
 	Changes     []cowslipplatform.Change
 	ConfirmedAt time.Time // when the store last confirmed the content
 }
@@ -30,18 +31,18 @@
 type Mirror struct {
 	mu          sync.Mutex
 	values      map[string]cowslipplatform.Value
-	revision    uint64
+	revision    cowslipplatform.Revision
 	confirmedAt time.Time
-	history     []cowslipplatform.Change
-	historyFrom uint64         // history holds all changes after this revision
-	trimmed     int            // how many changes were removed from the start of history
-	latest      map[string]int // by key: the position of its last change in history, plus trimmed
+	history     []cowslipplatform.Change // of the era of revision
+	historyFrom cowslipplatform.Revision // history holds all changes after this revision
+	trimmed     int                      // how many changes were removed from the start of history
+	latest      map[string]int           // by key: the position of its last change in history, plus trimmed
 	advanced    chan struct{}
 }
 
 // Revision returns the store revision up to which the mirror holds all changes, or
-// 0 if it has received no content.
-func (m *Mirror) Revision() uint64 {
+// zero if it has received no content.
+func (m *Mirror) Revision() cowslipplatform.Revision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.revision
@@ -80,12 +81,12 @@
 }
 
 // Apply applies an update and reports whether the content changed. It ignores an
-// update that is older than the content or that would leave a gap. An empty mirror
-// accepts only a full update.
+// update that is older than the content, of an earlier era, or that would leave a gap. An
+// empty mirror, or one with content of an earlier era, accepts only a full update.
 func (m *Mirror) Apply(u Update) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if u.Revision < m.revision || !u.Full && u.From > m.revision || m.revision == 0 && !u.Full {
+	if !m.accepts(u) {
 		return false
 	}
 	if u.ConfirmedAt.After(m.confirmedAt) {
@@ -97,7 +98,7 @@
 	} else {
 		changed = m.applyChanges(u)
 	}
-	if u.Revision > m.revision || changed {
+	if u.Revision.After(m.revision) || changed {
 		m.revision = u.Revision
 		if m.advanced != nil {
 			close(m.advanced)
@@ -107,19 +108,29 @@
 	return changed
 }
 
+func (m *Mirror) accepts(u Update) bool {
+	if u.Full {
+		// A listing that was never confirmed may be of a copy of an earlier era.
+		unconfirmed := m.confirmedAt.IsZero() && !u.ConfirmedAt.IsZero() && u.Revision.SameEra(m.revision)
+		return !u.Revision.Before(m.revision) || unconfirmed
+	}
+	return !m.revision.IsZero() && u.Revision.SameEra(m.revision) && u.From.SameEra(m.revision) && !u.Revision.Before(m.revision) && !u.From.After(m.revision)
+}
+
 // replaceAll replaces the content. The pages of a listing are not a consistent
 // snapshot, so a value may be newer than the listing's revision. The newer value
 // is kept.
 func (m *Mirror) replaceAll(u Update) bool {
 	n := make(map[string]cowslipplatform.Value, len(u.Changes))
-	changed := m.revision == 0
+	changed := m.revision.IsZero()
 	for _, c := range u.Changes {
 		n[c.Key] = c.Value
 	}
+	back := u.Revision.Before(m.revision)
 	for k, v := range m.values {
 		x, ok := n[k]
 		switch {
-		case v.Revision > u.Revision && x.Revision < v.Revision:
+		case !back && v.Revision.After(u.Revision) && x.Revision.Before(v.Revision):
 			n[k] = v
 		case !ok || x.Revision != v.Revision:
 			changed = true
@@ -134,11 +145,11 @@
 func (m *Mirror) applyChanges(u Update) bool {
 	changed := false
 	for _, c := range u.Changes {
-		if c.Revision <= m.revision {
+		if !c.Revision.After(m.revision) {
 			continue
 		}
 		m.record(c)
-		if m.values[c.Key].Revision >= c.Revision {
+		if !m.values[c.Key].Revision.Before(c.Revision) {
 			continue
 		}
 		if c.Removed {
@@ -182,15 +193,14 @@
 
 // Since returns the update that brings a mirror at the given revision up to date
 // with this one.
-func (m *Mirror) Since(revision uint64) Update {
+func (m *Mirror) Since(revision cowslipplatform.Revision) Update {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	u := Update{From: revision, Revision: m.revision, ConfirmedAt: m.confirmedAt}
-	if m.revision == 0 || revision >= m.revision {
-		u.Revision = min(revision, m.revision)
+	if m.revision.IsZero() || !revision.Before(m.revision) {
 		return u
 	}
-	if revision < m.historyFrom || revision == 0 {
+	if revision.Before(m.historyFrom) || revision.IsZero() {
 		u.Full = true
 		for _, v := range m.sortedValues() {
 			u.Changes = append(u.Changes, cowslipplatform.Change{Value: v})
@@ -204,11 +214,11 @@
 // latestPerKey returns the last change of each key after a revision, in order. When
 // many keys expire and are written again at once, half of the changes are
 // superseded.
-func latestPerKey(l []cowslipplatform.Change, after uint64) []cowslipplatform.Change {
+func latestPerKey(l []cowslipplatform.Change, after cowslipplatform.Revision) []cowslipplatform.Change {
 	var n []cowslipplatform.Change
 	seen := map[string]bool{}
 	for _, c := range slices.Backward(l) {
-		if c.Revision <= after {
+		if !c.Revision.After(after) {
 			break
 		}
 		if !seen[c.Key] {
@@ -221,9 +231,9 @@
 }
 
 // Wait blocks until the mirror's revision exceeds the given one or ctx ends.
-func (m *Mirror) Wait(ctx context.Context, revision uint64) {
+func (m *Mirror) Wait(ctx context.Context, revision cowslipplatform.Revision) {
 	m.mu.Lock()
-	if m.revision > revision {
+	if m.revision.After(revision) {
 		m.mu.Unlock()
 		return
 	}
--- a/cowslipplatform/http.go
+++ b/cowslipplatform/http.go
@@ -49,14 +49,14 @@
 	return v, err
 }
 
-func (s *httpStore) put(ctx context.Context, w Write) (uint64, error) {
+func (s *httpStore) put(ctx context.Context, w Write) (Revision, error) {
 	var v Value
 	err := s.call(ctx, http.MethodPut, "/v1/kv", nil, w, &v)
 	return v.Revision, err
 }
 
-func (s *httpStore) remove(ctx context.Context, key string, expect uint64) error {
-	q := url.Values{"key": {key}, "expect": {strconv.FormatUint(expect, 10)}}
+func (s *httpStore) remove(ctx context.Context, key string, expect Revision) error {
+	q := url.Values{"key": {key}, "expect": {strconv.FormatUint(expect.Number(), 10)}}
 	return s.call(ctx, http.MethodDelete, "/v1/kv", q, nil, nil)
 }
 
@@ -66,29 +66,29 @@
 	return v, err
 }
 
-func (s *httpStore) watch(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error) {
-	q := url.Values{"key": {key}, "after": {strconv.FormatUint(after, 10)}, "wait": {wait.String()}}
+func (s *httpStore) watch(ctx context.Context, key string, after Revision, wait time.Duration) (Value, error) {
+	q := url.Values{"key": {key}, "after": {strconv.FormatUint(after.Number(), 10)}, "wait": {wait.String()}}
 	var v Value
 	err := s.call(ctx, http.MethodGet, "/v1/watch", q, nil, &v)
 	return v, err
 }
 
-func (s *httpStore) grant(ctx context.Context, ttl time.Duration) (uint64, error) {
-	var v struct{ ID uint64 }
+func (s *httpStore) grant(ctx context.Context, ttl time.Duration) (Lease, error) {
+	var v struct{ ID Lease }
 	err := s.call(ctx, http.MethodPost, "/v1/leases", url.Values{"ttl": {ttl.String()}}, nil, &v)
 	return v.ID, err
 }
 
-func (s *httpStore) keepAlive(ctx context.Context, lease uint64) error {
-	return s.lease(ctx, http.MethodPut, lease)
+func (s *httpStore) keepAlive(ctx context.Context, l Lease) error {
+	return s.lease(ctx, http.MethodPut, l)
 }
 
-func (s *httpStore) revoke(ctx context.Context, lease uint64) error {
-	return s.lease(ctx, http.MethodDelete, lease)
+func (s *httpStore) revoke(ctx context.Context, l Lease) error {
+	return s.lease(ctx, http.MethodDelete, l)
 }
 
-func (s *httpStore) lease(ctx context.Context, method string, lease uint64) error {
-	err := s.call(ctx, method, "/v1/leases", url.Values{"id": {strconv.FormatUint(lease, 10)}}, nil, nil)
+func (s *httpStore) lease(ctx context.Context, method string, l Lease) error {
+	err := s.call(ctx, method, "/v1/leases", url.Values{"id": {strconv.FormatUint(l.ID(), 10)}}, nil, nil)
 	if errors.Is(err, ErrNotFound) {
 		return ErrLeaseExpired
 	}
--- a/cowslipplatform/store.go
+++ b/cowslipplatform/store.go
@@ -20,6 +20,10 @@
 	// ErrCompacted means that the store no longer keeps the requested changes, so
 	// that the keys must be listed again.
 	ErrCompacted = errors.ConstError("cowslipplatform: requested changes are no longer kept")
+	// ErrEraEnded means that the store answers in another era than that of the revision or
+	// lease of the call. A watch must list the keys again. A write that expected a revision may
+	// have met other content with the same number: its writer must read and decide again.
+	ErrEraEnded = errors.ConstError("cowslipplatform: the store has begun a new era")
 	// ErrMoreChanges is returned together with changes that may be incomplete. The
 	// next call must ask for the changes after the returned revision. Such a result
 	// does not confirm that a copy of the store is up to date.
@@ -27,22 +31,22 @@
 )
 
 // Value is the content of a key. Revision is the store's revision after the last write
-// of the key, 0 for a key that does not exist. The store's revision grows with each
-// write of any key.
+// of the key, in the era in which it was read, and zero for a key that does not exist. The
+// store's revision grows with each write of any key.
 type Value struct {
-	Key      string `json:"key"`
-	Data     []byte `json:"data"`
-	Revision uint64 `json:"revision"`
+	Key      string   `json:"key"`
+	Data     []byte   `json:"data"`
+	Revision Revision `json:"revision"`
 }
 
-// Write is one compare-and-swap. Expect is the revision that the key must have, 0
-// for a key that must not exist yet. If Lease is not 0, the key is removed when
+// Write is one compare-and-swap. Expect is the revision that the key must have, zero
+// for a key that must not exist yet. If there is a Lease, the key is removed when
 // that lease ends. If TTL is not 0, the key is removed after that time.
 type Write struct {
 	Key    string        `json:"key"`
 	Data   []byte        `json:"data"`
-	Expect uint64        `json:"expect"`
-	Lease  uint64        `json:"lease,omitempty"`
+	Expect Revision      `json:"expect"`
+	Lease  Lease         `json:"lease,omitzero"`
 	TTL    time.Duration `json:"ttlNanos,omitempty"`
 }
 
@@ -56,7 +60,7 @@
 // it may or may not include changes after Revision.
 type Listing struct {
 	Values   []Value
-	Revision uint64
+	Revision Revision
 }
 
 // Instance is one entry of the platform's instance list.
@@ -78,13 +82,13 @@
 // Changes; those that it does not use may be nil.
 type Store struct {
 	Get       func(ctx context.Context, key string) (Value, error)
-	Put       func(ctx context.Context, w Write) (uint64, error)
-	Delete    func(ctx context.Context, key string, expect uint64) error
+	Put       func(ctx context.Context, w Write) (Revision, error)
+	Delete    func(ctx context.Context, key string, expect Revision) error
 	List      func(ctx context.Context, prefix string) ([]Value, error)
-	Watch     func(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error) // returns the current value once its revision differs from after, or when wait has elapsed
-	Grant     func(ctx context.Context, ttl time.Duration) (uint64, error)
-	KeepAlive func(ctx context.Context, lease uint64) error
-	Revoke    func(ctx context.Context, lease uint64) error
+	Watch     func(ctx context.Context, key string, after Revision, wait time.Duration) (Value, error) // returns the current value once its revision differs from after, or when wait has elapsed
+	Grant     func(ctx context.Context, ttl time.Duration) (Lease, error)
+	KeepAlive func(ctx context.Context, l Lease) error
+	Revoke    func(ctx context.Context, l Lease) error
 	Instances func(ctx context.Context) ([]Instance, error)
 
 	// Scan lists the keys with a prefix. If stale is set, the listing may be seconds
@@ -93,5 +97,8 @@
 	// Changes is a long poll. It returns the changes of keys with a prefix after a
 	// revision, in order, as soon as there is one, or none when wait has elapsed. It
 	// also returns the revision to pass to the next call.
-	Changes func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Change, uint64, error)
+	Changes func(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Change, Revision, error)
+
+	// UnreadableEras counts the answers whose era could not be read. It may be nil.
+	UnreadableEras func() int64
 }
--- a/cowslipplatform/store_test.go
+++ b/cowslipplatform/store_test.go
@@ -48,7 +48,7 @@
 			require.ErrorIs(t, err, cowslipplatform.ErrConflict, "create if absent")
 			r2, err := s.Put(ctx, cowslipplatform.Write{Key: "a/1", Data: []byte("y"), Expect: r})
 			require.NoError(t, err)
-			require.Greater(t, r2, r)
+			require.True(t, r2.After(r))
 			_, err = s.Put(ctx, cowslipplatform.Write{Key: "a/1", Data: []byte("z"), Expect: r})
 			require.ErrorIs(t, err, cowslipplatform.ErrConflict)
 			v, err := s.Get(ctx, "a/1")
--- a/cowsliprecord/recorder.go
+++ b/cowsliprecord/recorder.go
@@ -108,14 +108,14 @@
 	request   Request
 	key       string
 	claim     Claim
-	revision  uint64
+	revision  cowslipplatform.Revision
 	uncertain bool // a failed write of the claim may have taken effect
 }
 
 // acquire claims the key and reports whether it succeeded. If not, the response
 // is the final one for the caller.
 func (h *claimAttempt) acquire(ctx context.Context) (Response, bool) {
-	var expect uint64
+	var expect cowslipplatform.Revision
 	last := NotRun // verdict if ctx ends now
 	for ctx.Err() == nil {
 		n, err := h.write(ctx, h.claim, expect)
@@ -128,7 +128,7 @@
 		}
 		c, v, err := h.read(ctx)
 		if errors.Is(err, cowslipplatform.ErrNotFound) {
-			expect = 0
+			expect = cowslipplatform.Revision{}
 			h.sleep(ctx, claimRetryDelay)
 			continue
 		}
@@ -160,10 +160,10 @@
 	return Response{Verdict: last}, false
 }
 
-func (h *claimAttempt) write(ctx context.Context, c Claim, expect uint64) (uint64, error) {
+func (h *claimAttempt) write(ctx context.Context, c Claim, expect cowslipplatform.Revision) (cowslipplatform.Revision, error) {
 	b, err := c.encode()
 	if err != nil {
-		return 0, err
+		return cowslipplatform.Revision{}, err
 	}
 	t, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/cowsliprecord/recorder_test.go
+++ b/cowsliprecord/recorder_test.go
@@ -51,18 +51,18 @@
 func faultyStore(s *cowslipplatform.Store, faults ...writeFault) *cowslipplatform.Store {
 	c := *s
 	n := 0
-	c.Put = func(ctx context.Context, w cowslipplatform.Write) (uint64, error) {
+	c.Put = func(ctx context.Context, w cowslipplatform.Write) (cowslipplatform.Revision, error) {
 		x := noFault
 		if n < len(faults) {
 			x = faults[n]
 		}
 		n++
 		if x == requestLost {
-			return 0, errLost
+			return cowslipplatform.Revision{}, errLost
 		}
 		r, err := s.Put(ctx, w)
 		if x == responseLost {
-			return 0, errLost
+			return cowslipplatform.Revision{}, errLost
 		}
 		return r, err
 	}
@@ -140,7 +140,9 @@
 		hang func(s *cowslipplatform.Store) // makes calls to the store hang
 	}{
 		{"write", func(s *cowslipplatform.Store) {
-			s.Put = func(ctx context.Context, _ cowslipplatform.Write) (uint64, error) { return 0, hang(ctx) }
+			s.Put = func(ctx context.Context, _ cowslipplatform.Write) (cowslipplatform.Revision, error) {
+				return cowslipplatform.Revision{}, hang(ctx)
+			}
 		}},
 		{"read", func(s *cowslipplatform.Store) {
 			s.Get = func(ctx context.Context, _ string) (cowslipplatform.Value, error) {
--- a/cowslipstandin/platform.go
+++ b/cowslipstandin/platform.go
@@ -59,6 +59,7 @@
 	clock             clock.Clock
 	faults            PlatformFaults
 	record            PlatformRecord
+	era               uint64
 	revision          uint64
 	values            map[string]storedValue
 	leases            map[uint64]*lease
@@ -148,24 +149,28 @@
 func (p *Platform) Store(client string) *cowslipplatform.Store {
 	return &cowslipplatform.Store{
 		Get: func(ctx context.Context, key string) (cowslipplatform.Value, error) { return p.get(ctx, client, key) },
-		Put: func(ctx context.Context, w cowslipplatform.Write) (uint64, error) { return p.put(ctx, client, w) },
-		Delete: func(ctx context.Context, key string, expect uint64) error {
+		Put: func(ctx context.Context, w cowslipplatform.Write) (cowslipplatform.Revision, error) {
+			return p.put(ctx, client, w)
+		},
+		Delete: func(ctx context.Context, key string, expect cowslipplatform.Revision) error {
 			return p.remove(ctx, client, key, expect)
 		},
 		List: func(ctx context.Context, prefix string) ([]cowslipplatform.Value, error) {
 			return p.list(ctx, client, prefix)
 		},
-		Watch: func(ctx context.Context, key string, after uint64, wait time.Duration) (cowslipplatform.Value, error) {
+		Watch: func(ctx context.Context, key string, after cowslipplatform.Revision, wait time.Duration) (cowslipplatform.Value, error) {
 			return p.watch(ctx, client, key, after, wait)
 		},
-		Grant:     func(ctx context.Context, ttl time.Duration) (uint64, error) { return p.grant(ctx, client, ttl) },
-		KeepAlive: func(ctx context.Context, id uint64) error { return p.keepAlive(ctx, client, id) },
-		Revoke:    func(ctx context.Context, id uint64) error { return p.revoke(ctx, client, id) },
+		Grant: func(ctx context.Context, ttl time.Duration) (cowslipplatform.Lease, error) {
+			return p.grant(ctx, client, ttl)
+		},
+		KeepAlive: func(ctx context.Context, l cowslipplatform.Lease) error { return p.keepAlive(ctx, client, l) },
+		Revoke:    func(ctx context.Context, l cowslipplatform.Lease) error { return p.revoke(ctx, client, l) },
 		Instances: func(ctx context.Context) ([]cowslipplatform.Instance, error) { return p.listInstances(ctx, client) },
 		Scan: func(ctx context.Context, prefix string, _ bool) (cowslipplatform.Listing, error) {
 			return p.scan(ctx, client, prefix)
 		},
-		Changes: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]cowslipplatform.Change, uint64, error) {
+		Changes: func(ctx context.Context, prefix string, after cowslipplatform.Revision, wait time.Duration) ([]cowslipplatform.Change, cowslipplatform.Revision, error) {
 			return p.awaitChanges(ctx, client, prefix, after, wait)
 		},
 	}
@@ -257,20 +262,20 @@
 	return v.Value, nil
 }
 
-func (p *Platform) put(ctx context.Context, client string, w cowslipplatform.Write) (uint64, error) {
+func (p *Platform) put(ctx context.Context, client string, w cowslipplatform.Write) (cowslipplatform.Revision, error) {
 	if err := p.beginCall(ctx, client); err != nil {
-		return 0, err
+		return cowslipplatform.Revision{}, err
 	}
 	defer p.mu.Unlock()
 	p.record.Writes++
-	if p.values[w.Key].Revision != w.Expect {
-		return 0, cowslipplatform.ErrConflict
+	if p.values[w.Key].Revision.Number() != w.Expect.Number() {
+		return cowslipplatform.Revision{}, cowslipplatform.ErrConflict
 	}
-	if w.Lease != 0 && p.leases[w.Lease] == nil {
-		return 0, cowslipplatform.ErrLeaseExpired
+	if !w.Lease.IsZero() && p.leases[w.Lease.ID()] == nil {
+		return cowslipplatform.Revision{}, cowslipplatform.ErrLeaseExpired
 	}
 	p.revision++
-	s := storedValue{Value: cowslipplatform.Value{Key: w.Key, Data: slices.Clone(w.Data), Revision: p.revision}, lease: w.Lease}
+	s := storedValue{Value: cowslipplatform.Value{Key: w.Key, Data: slices.Clone(w.Data), Revision: p.at(p.revision)}, lease: w.Lease.ID()}
 	if w.TTL > 0 {
 		s.expires = p.clock.Now().Add(w.TTL)
 	}
@@ -279,12 +284,15 @@
 	p.notifyWatchers()
 	if p.faults.LoseWrites > 0 {
 		p.faults.LoseWrites--
-		return 0, ErrDown
+		return cowslipplatform.Revision{}, ErrDown
 	}
-	return p.revision, nil
+	if !w.Expect.IsZero() && w.Expect.Era() != p.era || !w.Lease.IsZero() && w.Lease.Era() != p.era {
+		return cowslipplatform.Revision{}, cowslipplatform.ErrEraEnded
+	}
+	return s.Revision, nil
 }
 
-func (p *Platform) remove(ctx context.Context, client, key string, expect uint64) error {
+func (p *Platform) remove(ctx context.Context, client, key string, expect cowslipplatform.Revision) error {
 	if err := p.beginCall(ctx, client); err != nil {
 		return err
 	}
@@ -294,11 +302,14 @@
 	if !ok {
 		return cowslipplatform.ErrNotFound
 	}
-	if v.Revision != expect {
+	if v.Revision.Number() != expect.Number() {
 		return cowslipplatform.ErrConflict
 	}
 	p.deleteKey(key)
 	p.notifyWatchers()
+	if expect.Era() != p.era {
+		return cowslipplatform.ErrEraEnded
+	}
 	return nil
 }
 
@@ -317,7 +328,7 @@
 	return l, nil
 }
 
-func (p *Platform) watch(ctx context.Context, client, key string, after uint64, wait time.Duration) (cowslipplatform.Value, error) {
+func (p *Platform) watch(ctx context.Context, client, key string, after cowslipplatform.Revision, wait time.Duration) (cowslipplatform.Value, error) {
 	t := p.clock.After(wait)
 	for {
 		if err := p.beginCall(ctx, client); err != nil {
@@ -344,38 +355,44 @@
 	}
 }
 
-func (p *Platform) grant(ctx context.Context, client string, ttl time.Duration) (uint64, error) {
+func (p *Platform) grant(ctx context.Context, client string, ttl time.Duration) (cowslipplatform.Lease, error) {
 	if err := p.beginCall(ctx, client); err != nil {
-		return 0, err
+		return cowslipplatform.Lease{}, err
 	}
 	defer p.mu.Unlock()
 	p.record.Writes++
 	p.nextLease++
 	p.leases[p.nextLease] = &lease{ttl: ttl, expires: p.clock.Now().Add(ttl)}
-	return p.nextLease, nil
+	return cowslipplatform.NewLease(p.era, p.nextLease), nil
 }
 
-func (p *Platform) keepAlive(ctx context.Context, client string, id uint64) error {
+func (p *Platform) keepAlive(ctx context.Context, client string, k cowslipplatform.Lease) error {
 	if err := p.beginCall(ctx, client); err != nil {
 		return err
 	}
 	defer p.mu.Unlock()
 	p.record.Writes++
-	l := p.leases[id]
+	l := p.leases[k.ID()]
 	if l == nil {
 		return cowslipplatform.ErrLeaseExpired
 	}
 	l.expires = p.clock.Now().Add(l.ttl)
+	if k.Era() != p.era {
+		return cowslipplatform.ErrLeaseExpired
+	}
 	return nil
 }
 
-func (p *Platform) revoke(ctx context.Context, client string, id uint64) error {
+func (p *Platform) revoke(ctx context.Context, client string, l cowslipplatform.Lease) error {
 	if err := p.beginCall(ctx, client); err != nil {
 		return err
 	}
 	defer p.mu.Unlock()
 	p.record.Writes++
-	p.endLease(id)
+	if l.Era() != p.era {
+		return cowslipplatform.ErrLeaseExpired
+	}
+	p.endLease(l.ID())
 	p.notifyWatchers()
 	return nil
 }
--- a/cowslipstandin/platform_test.go
+++ b/cowslipstandin/platform_test.go
@@ -40,7 +40,7 @@
 			s := cowslipstandin.NewPlatform(nil).Store("")
 			require.NoError(t, c.put(s))
 			began := time.Now()
-			l, _, err := s.Changes(t.Context(), "a/", 1, wait)
+			l, _, err := s.Changes(t.Context(), "a/", cowslipplatform.NewRevision(0, 1), wait)
 			require.NoError(t, err)
 			require.Less(t, time.Since(began), wait)
 			require.Len(t, l, 1)
--- a/cowslipstandin/platformserver.go
+++ b/cowslipstandin/platformserver.go
@@ -33,7 +33,7 @@
 	})
 	h.DELETE("/v1/kv", func(ctx context.Context, c *app.RequestContext) {
 		n, _ := strconv.ParseUint(c.Query("expect"), 10, 64)
-		writeResponse(c, nil, store(c).Delete(ctx, c.Query("key"), n))
+		writeResponse(c, nil, store(c).Delete(ctx, c.Query("key"), cowslipplatform.NewRevision(0, n)))
 	})
 	h.GET("/v1/list", func(ctx context.Context, c *app.RequestContext) {
 		v, err := store(c).List(ctx, c.Query("prefix"))
@@ -42,21 +42,21 @@
 	h.GET("/v1/watch", func(ctx context.Context, c *app.RequestContext) {
 		n, _ := strconv.ParseUint(c.Query("after"), 10, 64)
 		d, _ := time.ParseDuration(c.Query("wait"))
-		v, err := store(c).Watch(ctx, c.Query("key"), n, d)
+		v, err := store(c).Watch(ctx, c.Query("key"), cowslipplatform.NewRevision(0, n), d)
 		writeResponse(c, v, err)
 	})
 	h.POST("/v1/leases", func(ctx context.Context, c *app.RequestContext) {
 		d, _ := time.ParseDuration(c.Query("ttl"))
 		n, err := store(c).Grant(ctx, d)
-		writeResponse(c, map[string]uint64{"id": n}, err)
+		writeResponse(c, map[string]cowslipplatform.Lease{"id": n}, err)
 	})
 	h.PUT("/v1/leases", func(ctx context.Context, c *app.RequestContext) {
 		n, _ := strconv.ParseUint(c.Query("id"), 10, 64)
-		writeResponse(c, nil, store(c).KeepAlive(ctx, n))
+		writeResponse(c, nil, store(c).KeepAlive(ctx, cowslipplatform.NewLease(0, n)))
 	})
 	h.DELETE("/v1/leases", func(ctx context.Context, c *app.RequestContext) {
 		n, _ := strconv.ParseUint(c.Query("id"), 10, 64)
-		writeResponse(c, nil, store(c).Revoke(ctx, n))
+		writeResponse(c, nil, store(c).Revoke(ctx, cowslipplatform.NewLease(0, n)))
 	})
 	h.GET("/v1/instances", func(ctx context.Context, c *app.RequestContext) {
 		v, err := store(c).Instances(ctx)
--- a/cowslipusage/action.go
+++ b/cowslipusage/action.go
@@ -35,8 +35,8 @@
 	Kind   ActionKind
 	Key    string
 	Data   []byte
-	Expect uint64
-	Lease  uint64
+	Expect cowslipplatform.Revision
+	Lease  cowslipplatform.Lease
 	TTL    time.Duration
 	Window int64
 	Token  uint64
@@ -47,6 +47,6 @@
 type Result struct {
 	Err      error
 	Value    cowslipplatform.Value
-	Lease    uint64
-	Revision uint64
+	Lease    cowslipplatform.Lease
+	Revision cowslipplatform.Revision
 }
--- a/cowslipusage/duty.go
+++ b/cowslipusage/duty.go
@@ -74,7 +74,7 @@
 	state     dutyState
 	busy      Action
 	startedAt time.Time // of the call in flight
-	id        uint64    // of the lease
+	id        cowslipplatform.Lease
 	grantedAt time.Time // when the call that granted it began
 	until     time.Time // the lease is certainly in force before
 	renewAt   time.Time // of the next call that renews the lease, or reads the key
@@ -186,7 +186,7 @@
 func (d *Duty) created(now time.Time, r Result) {
 	switch {
 	case r.Err == nil:
-		d.take(now, r.Revision)
+		d.take(now, r.Revision.Number())
 	case errors.Is(r.Err, cowslipplatform.ErrConflict), errors.Is(r.Err, cowslipplatform.ErrLeaseExpired):
 		d.giveUp(now)
 	default:
@@ -204,7 +204,7 @@
 	case r.Err != nil:
 		d.renewAt = now.Add(d.lease / retryDivisor)
 	case json.Unmarshal(r.Value.Data, &h) == nil && h == d.self:
-		d.take(now, r.Value.Revision)
+		d.take(now, r.Value.Revision.Number())
 	default:
 		d.giveUp(now)
 	}
--- a/cowslipusage/model_test.go
+++ b/cowslipusage/model_test.go
@@ -121,11 +121,11 @@
 		}
 		var h *cowslipusage.Holder
 		v := m.keys[cowslipusage.HolderKey]
-		if v.Revision > 0 {
+		if !v.Revision.IsZero() {
 			h = &cowslipusage.Holder{}
 			_ = json.Unmarshal(v.Data, h)
 		}
-		m.seen, m.seenRevisions = append(m.seen, h), append(m.seenRevisions, v.Revision)
+		m.seen, m.seenRevisions = append(m.seen, h), append(m.seenRevisions, v.Revision.Number())
 		for i, x := range m.instances {
 			m.stepCalls(x)
 			if !m.now.Before(x.frozenUntil) {
@@ -254,21 +254,21 @@
 }
 
 func (m *model) apply(x *instance, a cowslipusage.Action) cowslipusage.Result {
-	_, leased := m.leases[a.Lease]
+	_, leased := m.leases[a.Lease.ID()]
 	switch a.Kind {
 	case cowslipusage.Send:
 		return cowslipusage.Result{Err: m.receive(x, a)}
 	case cowslipusage.Grant:
 		m.revision++
 		m.leases[m.revision] = m.now.Add(a.TTL)
-		return cowslipusage.Result{Lease: m.revision}
+		return cowslipusage.Result{Lease: cowslipplatform.NewLease(0, m.revision)}
 	case cowslipusage.KeepAlive:
 		if !leased {
 			return cowslipusage.Result{Err: cowslipplatform.ErrLeaseExpired}
 		}
-		m.leases[a.Lease] = m.now.Add(lease)
+		m.leases[a.Lease.ID()] = m.now.Add(lease)
 	case cowslipusage.Revoke:
-		m.leases[a.Lease] = m.now
+		m.leases[a.Lease.ID()] = m.now
 	case cowslipusage.Get:
 		v, ok := m.keys[a.Key]
 		if !ok {
@@ -283,8 +283,8 @@
 			return cowslipusage.Result{Err: cowslipplatform.ErrConflict}
 		}
 		m.revision++
-		m.keys[a.Key] = storedKey{cowslipplatform.Value{Key: a.Key, Data: a.Data, Revision: m.revision}, a.Lease}
-		return cowslipusage.Result{Revision: m.revision}
+		m.keys[a.Key] = storedKey{cowslipplatform.Value{Key: a.Key, Data: a.Data, Revision: cowslipplatform.NewRevision(0, m.revision)}, a.Lease.ID()}
+		return cowslipusage.Result{Revision: cowslipplatform.NewRevision(0, m.revision)}
 	}
 	return cowslipusage.Result{}
 }
--- a/cowslipusage/reporter.go
+++ b/cowslipusage/reporter.go
@@ -89,10 +89,10 @@
 	hasNext   bool
 	next      int64     // the first window that is still open
 	covered   time.Time // windows that ended before have all their counts in the sums that were read
-	sumsRev   uint64
+	sumsRev   cowslipplatform.Revision
 	sumsNext  int64     // the first open window that they state
 	sumsAt    time.Time // when to write the sums next
-	lease     uint64
+	lease     cowslipplatform.Lease
 	leaseAt   time.Time
 	retryAt   time.Time // of calls to the store
 	sendAt    time.Time // of calls to the platform
@@ -140,7 +140,7 @@
 	}
 	r.closeWindows(now, wall)
 	r.dropOld(wall)
-	if storeReady && (r.lease == 0 || now.Sub(r.leaseAt) > reportLeaseReuse) {
+	if storeReady && (r.lease.IsZero() || now.Sub(r.leaseAt) > reportLeaseReuse) {
 		r.leaseAt = now
 		return Action{Kind: Grant, TTL: reportTTL}
 	}
@@ -227,7 +227,7 @@
 			return Action{}
 		}
 	}
-	if !r.sumsRead || r.lease == 0 || !r.sumsChanged() {
+	if !r.sumsRead || r.lease.IsZero() || !r.sumsChanged() {
 		return Action{}
 	}
 	return r.writeSums(now, now.Add(correction))
@@ -268,7 +268,7 @@
 	case a.Kind == Grant:
 		r.lease = x.Lease
 		if x.Err != nil {
-			r.lease, r.retryAt = 0, now.Add(storeRetry)
+			r.lease, r.retryAt = cowslipplatform.Lease{}, now.Add(storeRetry)
 		}
 	case a.Kind == Get && a.Key == SumsKey:
 		r.readSums(now, x)
@@ -290,7 +290,7 @@
 	}
 	r.sumsRead = true
 	if x.Err != nil {
-		r.sumsRev = 0
+		r.sumsRev = cowslipplatform.Revision{}
 		return
 	}
 	r.sumsRev = x.Value.Revision
@@ -312,7 +312,7 @@
 	if x.Err != nil {
 		r.sumsRead, r.retryAt, r.sumsAt, r.collector.changed = false, now.Add(storeRetry), now, true
 		if errors.Is(x.Err, cowslipplatform.ErrLeaseExpired) {
-			r.lease = 0
+			r.lease = cowslipplatform.Lease{}
 		}
 		return
 	}
@@ -336,7 +336,7 @@
 	case errors.Is(x.Err, cowslipplatform.ErrConflict):
 		p.unsure = true
 	case errors.Is(x.Err, cowslipplatform.ErrLeaseExpired):
-		r.lease = 0
+		r.lease = cowslipplatform.Lease{}
 	default:
 		p.unsure, r.retryAt = true, now.Add(storeRetry)
 	}
--- a/cowslipusage/steps_test.go
+++ b/cowslipusage/steps_test.go
@@ -19,9 +19,9 @@
 	d.Next(start, vacant)
 	now := start.Add(lease)
 	require.Equal(t, cowslipusage.Grant, d.Next(now, vacant).Kind)
-	d.Done(now, cowslipusage.Result{Lease: 1})
+	d.Done(now, cowslipusage.Result{Lease: cowslipplatform.NewLease(0, 1)})
 	require.Equal(t, cowslipusage.Put, d.Next(now, vacant).Kind)
-	d.Done(now, cowslipusage.Result{Revision: 7})
+	d.Done(now, cowslipusage.Result{Revision: cowslipplatform.NewRevision(0, 7)})
 	require.True(t, d.MayAct(now))
 	return d, now
 }
@@ -98,7 +98,7 @@
 		d := cowslipusage.NewDuty(cowslipusage.Holder{ID: "e1"}, lease, start, nil)
 		d.Next(start, vacant)
 		now := start.Add(lease)
-		for _, r := range []cowslipusage.Result{{Lease: 1}, {Err: errAway}, {Value: cowslipplatform.Value{Data: []byte(holder), Revision: 9}}} {
+		for _, r := range []cowslipusage.Result{{Lease: cowslipplatform.NewLease(0, 1)}, {Err: errAway}, {Value: cowslipplatform.Value{Data: []byte(holder), Revision: cowslipplatform.NewRevision(0, 9)}}} {
 			require.NotEqual(t, cowslipusage.None, d.Next(now, vacant).Kind)
 			d.Done(now, r)
 		}
@@ -127,8 +127,8 @@
 		r.Done(now, 0, x)
 		return a
 	}
-	require.Equal(t, cowslipusage.SumsKey, next(cowslipusage.Result{Value: cowslipplatform.Value{Data: b, Revision: 4}}).Key)
-	require.Equal(t, cowslipusage.Grant, next(cowslipusage.Result{Lease: 5}).Kind)
+	require.Equal(t, cowslipusage.SumsKey, next(cowslipusage.Result{Value: cowslipplatform.Value{Data: b, Revision: cowslipplatform.NewRevision(0, 4)}}).Key)
+	require.Equal(t, cowslipusage.Grant, next(cowslipusage.Result{Lease: cowslipplatform.NewLease(0, 5)}).Kind)
 	a := next(cowslipusage.Result{})
 	require.Equal(t, cowslipusage.Put, a.Kind)
 	require.JSONEq(t, fmt.Sprintf(`{"window":%d,"counts":{"a":5}}`, k), string(a.Data))
@@ -152,7 +152,7 @@
 			sent[a.Window]++
 			r.Done(now, 0, cowslipusage.Result{Err: map[bool]error{true: cowslipusage.ErrRejected}[a.Window == cowslipusage.WindowAt(start, window)]})
 		default:
-			r.Done(now, 0, cowslipusage.Result{Lease: 1})
+			r.Done(now, 0, cowslipusage.Result{Lease: cowslipplatform.NewLease(0, 1)})
 		}
 	}
 	k := cowslipusage.WindowAt(start, window)
@@ -199,7 +199,7 @@
 		case cowslipusage.Send:
 			sent[a.Window] = string(a.Data)
 		}
-		r.Done(now, 0, cowslipusage.Result{Lease: 1})
+		r.Done(now, 0, cowslipusage.Result{Lease: cowslipplatform.NewLease(0, 1)})
 	}
 	require.Equal(t, map[int64]string{k: fmt.Sprintf(`{"window":%d,"counts":{"a":3}}`, k)}, sent)
 }
@@ -221,7 +221,7 @@
 			case a.Kind == cowslipusage.Send:
 				sent[a.Window] = true
 			}
-			r.Done(now, 0, cowslipusage.Result{Lease: 1, Value: cowslipplatform.Value{Data: sums}})
+			r.Done(now, 0, cowslipusage.Result{Lease: cowslipplatform.NewLease(0, 1), Value: cowslipplatform.Value{Data: sums}})
 		}
 	}
 	k := cowslipusage.WindowAt(start, window)
