Mirror: values of others that a drill of the store lost stay in force

What callers saw: with a configuration, an evacuation and a leaving target that the store had acknowledged in the seconds that it lost, requests were handled by the older configuration and in the evacuated domain again, until the operators had written theirs again.

Cause: the first content of the new era replaced all that was in force, though its writers were told that the store had accepted it and write it again a moment later.

--- a/cowslipentry/contents.go
+++ b/cowslipentry/contents.go
@@ -16,7 +16,7 @@
 	before, confirmed := e.mirror.Revision(), e.mirror.ConfirmedAt()
 	outage := !confirmed.IsZero() && e.clock.Since(confirmed) > e.staleAge()
 	now := e.clock.Now()
-	if !e.mirror.Apply(u) {
+	if !e.mirror.Apply(u) && !e.retainer.Due(now) {
 		return
 	}
 	if e.firstMirrored.Load() == nil {
@@ -24,13 +24,15 @@
 	}
 	r := e.mirror.Revision()
 	codec := e.currentSettings().storeCodec
+	e.retainer.Of = codec.Retention
 	newEra := !before.IsZero() && !r.SameEra(before)
 	if newEra {
+		e.retainer.Begin(now, r)
 		e.metrics.storeEras.Add(1)
 		e.log.Warn("the store has begun a new era", "before", before.String(), "now", r.String(), "from", from)
 	}
 	values := e.mirror.Values()
-	b, problems := codec.Decode(values)
+	b, problems := codec.Decode(e.retainer.Values(now, values))
 	e.storeProblems.update(e.log, problems)
 	members := e.decodeMembers(values)
 	crashes := e.decodeCrashes(values)
--- a/cowslipentry/edge.go
+++ b/cowslipentry/edge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cowslipflow/cowslipconfig"
+	"cowslipflow/cowslipmirror"
 	"cowslipflow/cowslipplatform"
 	"cowslipflow/cowsliptarget"
 )
@@ -22,6 +23,9 @@
 // instance.
 type StoreCodec struct {
 	Prefix string // of the keys to read
+	// Retention states how long values of others stay in force after the store has come back
+	// from an older copy, and is false for keys whose values never do. It may be nil.
+	Retention func(key string) (cowslipmirror.Retention, bool)
 	// Decode decodes all values whose keys have that prefix. It leaves out values that
 	// it cannot decode and returns an error for each.
 	Decode func(l []cowslipplatform.Value) (StoreContents, []error)
--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -138,6 +138,7 @@
 	mirror        *cowslipmirror.Mirror
 	firstMirrored atomic.Pointer[time.Time] // when the mirror first had content
 	applyMu       sync.Mutex                // held while an update is applied to the mirror and the control state
+	retainer      cowslipmirror.Retainer    // of values that others write; used while applyMu is held
 	buffers       *cowsliptarget.Buffers
 	forwarder     *cowsliptarget.Forwarder
 	relayer       *cowslippeer.Relayer
