Moves: an outcome that the store has lost is recorded again

Cause: an instance that knows an outcome asked for no record of it. Class: facts that others have acted on, kept by the store alone.

Change: with the first content of a new era, each known outcome counts as not recorded until the store shows it in that era. The judges of the move write it again, and after 2 s anyone who knows it. With our own interface, an outcome that a list lacks, as after a restore from a backup, is written again, too.

Measured: TestLostOutcomeIsRecordedAgain failed in its three cases without the rewriting (scratch copy) and passes.

--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -93,6 +93,8 @@
 	confirmedAt time.Time
 	quietUntil  time.Time
 	scope       cowsliproute.Scope
+	era         uint64    // of the store, as far as this instance has seen it begin
+	eraBeganAt  time.Time // when this instance learned of it; zero for the era in which the instance started
 	lapsedUntil time.Time // until when targets whose entries lapsed in an outage stay in use
 
 	targets          []target
@@ -113,6 +115,7 @@
 	unanswered       []unanswered
 	outcomes         map[string]*cowslipmessage.Outcome
 	moveRecords      map[string]moveRecord // what the platform shows of moves, by ID
+	lostRecords      map[string]bool       // by ID of moves: the outcome was known before the present era, of which no content has shown it
 	stops            map[string]*cowslipmessage.Stop
 
 	departedCounts map[string]map[evidenceKey]counts // evidence received from peers that are gone and from previous incarnations of peers, by incarnation
@@ -164,7 +167,7 @@
 		freshness: &cowsliproute.Freshness{}, scope: cowsliproute.ScopeNone,
 		targetIndex: map[string]int{}, targetByAddr: map[string]*cowsliproute.Target{}, services: map[string]*service{},
 		domains:  map[string]*domainState{},
-		outcomes: map[string]*cowslipmessage.Outcome{}, moveRecords: map[string]moveRecord{}, stops: map[string]*cowslipmessage.Stop{},
+		outcomes: map[string]*cowslipmessage.Outcome{}, moveRecords: map[string]moveRecord{}, lostRecords: map[string]bool{}, stops: map[string]*cowslipmessage.Stop{},
 		serviceDirty: map[string]bool{}, targetsDirty: map[string]bool{}, clearedSuspects: map[uint64]map[string]time.Time{}, shortHolds: map[uint64]*shortHold{}, lifts: map[uint64]lift{}, holds: map[uint64]*hold{}, departedCounts: map[string]map[evidenceKey]counts{}, viewDirty: true, limitsDirty: true,
 	}
 	return c
--- /dev/null
+++ b/cowslipcontrol/era_test.go
@@ -0,0 +1,82 @@
+package cowslipcontrol_test
+
+import (
+	"testing"
+	"time"
+
+	"cowslipflow/cowslipcontrol"
+	"cowslipflow/cowslipplatform"
+
+	"github.com/stretchr/testify/require"
+)
+
+const judgedMove = "s/v2/5"
+
+// endMove runs the move of a simulation until all instances know its outcome.
+func endMove(x *judgeSimulation, bad bool) {
+	for len(x.outcomes) == 0 {
+		x.run(tick, func() bool { return bad })
+	}
+	for _, c := range x.nodes {
+		_, e := c.Tick(x.now)
+		for _, o := range e.Outcomes {
+			c.Outcome(o)
+			c.MoveRecordRead(judgedMove, cowslipplatform.NewRevision(1, 200), cowslipplatform.NewRevision(1, 200), cowslipcontrol.RecordEnded)
+		}
+	}
+	for range 3 {
+		for id, c := range x.nodes {
+			for p, o := range x.nodes {
+				if p != id {
+					c.Message(x.now, x.now, o.State(x.now, id))
+				}
+			}
+		}
+	}
+	x.outcomes = nil
+	x.run(time.Second, func() bool { return bad })
+	require.Empty(x.t, x.outcomes, "the outcome is recorded")
+}
+
+// Guards against an outcome that the store has lost and that nobody records again, though
+// targets have acted on it: whoever starts later begins the move anew.
+func TestLostOutcomeIsRecordedAgain(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		bad   bool
+		alone bool // only an instance that does not judge is left
+		want  string
+	}{
+		{"done", false, false, "true"},
+		{"taken back", true, false, "false"},
+		{"no judge knows it", false, true, "true"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newJudgeSimulation(t, 8)
+			judges := map[string]bool{}
+			for _, p := range x.nodes["e0"].MovePeers() {
+				judges[p.ID] = true
+			}
+			endMove(x, c.bad)
+			for id, n := range x.nodes {
+				if c.alone && judges[id] {
+					delete(x.nodes, id)
+					continue
+				}
+				n.EraBegan(x.now, cowslipplatform.NewRevision(2, 60), x.now)
+				n.MoveRecordRead(judgedMove, cowslipplatform.NewRevision(2, 50), cowslipplatform.NewRevision(2, 60), cowslipcontrol.RecordStarted)
+			}
+			x.run(2500*time.Millisecond, func() bool { return c.bad })
+			require.NotEmpty(t, x.outcomes)
+			for _, o := range x.outcomes {
+				require.Equal(t, c.want, o)
+			}
+			for _, n := range x.nodes {
+				n.MoveRecordRead(judgedMove, cowslipplatform.NewRevision(2, 61), cowslipplatform.NewRevision(2, 61), cowslipcontrol.RecordEnded)
+			}
+			x.outcomes = nil
+			x.run(time.Second, func() bool { return c.bad })
+			require.Empty(t, x.outcomes, "it is recorded")
+		})
+	}
+}
--- a/cowslipcontrol/judge.go
+++ b/cowslipcontrol/judge.go
@@ -35,7 +35,7 @@
 		c.markMove(m)
 	}
 	m.isJudge = !c.o.ListOnly || slices.Contains(c.judges(id), c.o.ID)
-	if c.o.ListOnly && canary && !c.moveRecords[id].started && c.outcomes[id] == nil {
+	if c.o.ListOnly && canary && c.moveRecords[id].state == RecordMissing && c.outcomes[id] == nil {
 		c.effects.Started = append(c.effects.Started, m.config)
 		c.expectRecord(id)
 	}
--- a/cowslipcontrol/move.go
+++ b/cowslipcontrol/move.go
@@ -86,6 +86,7 @@
 		m := &c.moves[i]
 		c.assignRoles(now, m)
 		c.publishShare(m)
+		c.restoreRecord(now, m)
 		if !m.isJudge {
 			continue
 		}
--- a/cowslipentry/contents.go
+++ b/cowslipentry/contents.go
@@ -41,7 +41,7 @@
 	backBy := lapseReturnTime + e.shareOfStaleAge(changeShare)
 	e.do(func(now time.Time, c *cowslipcontrol.Control) {
 		if newEra {
-			c.EraBegan(r, now.Add(backBy))
+			c.EraBegan(now, r, now.Add(backBy))
 		}
 		c.UpdateMembers(now, members)
 		c.UpdateClearings(now, clearings)
--- a/cowslipentry/edge.go
+++ b/cowslipentry/edge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cowslipflow/cowslipconfig"
+	"cowslipflow/cowslipcontrol"
 	"cowslipflow/cowslipmirror"
 	"cowslipflow/cowslipplatform"
 	"cowslipflow/cowsliptarget"
@@ -47,6 +48,17 @@
 	MoveTakenBack MoveState = "takenBack"
 )
 
+// record returns how far a move has come whose record says that it is in this state.
+func (s MoveState) record() cowslipcontrol.RecordState {
+	switch s {
+	case MoveRunning:
+		return cowslipcontrol.RecordStarted
+	case MoveDone, MoveTakenBack:
+		return cowslipcontrol.RecordEnded
+	}
+	return cowslipcontrol.RecordMissing
+}
+
 // MoveRecord is the state of a move as recorded in the store.
 type MoveRecord struct {
 	Move     string                   // its ID
--- a/cowslipentry/moves.go
+++ b/cowslipentry/moves.go
@@ -31,7 +31,7 @@
 // control state.
 func applyMoveRecords(c *cowslipcontrol.Control, asOf cowslipplatform.Revision, l ...MoveRecord) {
 	for _, x := range l {
-		c.MoveRecordRead(x.Move, x.Revision, asOf, x.State != "")
+		c.MoveRecordRead(x.Move, x.Revision, asOf, x.State.record())
 		if x.State == MoveDone || x.State == MoveTakenBack {
 			c.Outcome(&cowslipmessage.Outcome{Move: x.Move, Done: x.State == MoveDone})
 		}
@@ -81,7 +81,7 @@
 		return false, moveRecordRetryInterval
 	}
 	e.event("moveRecorded", m.ID(), string(s))
-	e.do(func(_ time.Time, c *cowslipcontrol.Control) { c.MoveRecordRead(m.ID(), n, n, true) })
+	e.do(func(_ time.Time, c *cowslipcontrol.Control) { c.MoveRecordRead(m.ID(), n, n, s.record()) })
 	return true, moveRecordRetryInterval
 }
 
--- a/cowslipentry/platform.go
+++ b/cowslipentry/platform.go
@@ -86,11 +86,12 @@
 	}
 	m := decodeAll[cowslipcontrol.Member](e.log, p)
 	var o []cowslipmessage.Outcome
+	listed := false
 	if e.hasMoves() {
 		if p, err = e.opts.Store.List(ctx, movesPrefix); err != nil {
 			e.log.Debug("outcomes of moves not read", "error", err)
 		}
-		o = decodeAll[cowslipmessage.Outcome](e.log, p)
+		o, listed = decodeAll[cowslipmessage.Outcome](e.log, p), err == nil
 	}
 	e.do(func(now time.Time, c *cowslipcontrol.Control) {
 		c.UpdateTargets(now, l)
@@ -98,6 +99,9 @@
 		for i := range o {
 			c.Outcome(&o[i])
 		}
+		if listed {
+			c.OutcomesListed(o)
+		}
 	})
 }
 
