Moves: an order that is written again after a drill is the same order

What callers saw: an order that the store lost in a drill and that the operators wrote again had another number. The instances took it for a new one, forgot how the move had ended, and gave the usual requests to the versions but the new one, whose targets may be gone.

Cause: the number of an order is a revision, which has a meaning only within an era.

Change: for 12 s after an era has begun, an order for the same service, version and time as a known one that is no longer configured continues that move: its state, evidence and outcome get the new ID, and the outcome is recorded again. Later, an order that is written again begins a move anew, as before.

--- a/cowslipcontrol/era_test.go
+++ b/cowslipcontrol/era_test.go
@@ -1,10 +1,12 @@
 package cowslipcontrol_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"cowslipflow/cowslipcontrol"
+	"cowslipflow/cowslipmessage"
 	"cowslipflow/cowslipplatform"
 
 	"github.com/stretchr/testify/require"
@@ -80,3 +82,33 @@
 		})
 	}
 }
+
+// Guards against an order that the store has lost and that operators write again: it has another
+// number, and was taken for another order, which began the move anew.
+func TestOrderWrittenAgainIsTheSameMove(t *testing.T) {
+	again := strings.Replace(judgedConfig, "order = 5", "order = 3", 1)
+	x := newJudgeSimulation(t, 3)
+	x.run(9*time.Second, func() bool { return false })
+	for _, c := range x.nodes {
+		c.EraBegan(x.now, cowslipplatform.NewRevision(2, 2), x.now)
+		c.MoveRecordRead("s/v2/3", cowslipplatform.Revision{}, cowslipplatform.NewRevision(2, 3), cowslipcontrol.RecordMissing)
+		require.True(t, c.Offer(cowslipcontrol.Accepted{Revision: 3, Era: 2, Text: again}, "test"))
+		require.Equal(t, "moving", c.Moves(x.now)[0].State)
+	}
+	for len(x.outcomes) == 0 && x.now.Before(time.Date(2026, 12, 4, 8, 0, 12, 0, time.UTC)) {
+		x.run(tick, func() bool { return false })
+	}
+	require.Contains(t, x.outcomes, "true", "the move goes on and ends in time")
+	for _, c := range x.nodes {
+		c.Outcome(&cowslipmessage.Outcome{Move: "s/v2/3", Done: true})
+	}
+	for id, c := range x.nodes {
+		c.EraBegan(x.now, cowslipplatform.NewRevision(3, 2), x.now)
+		require.True(t, c.Offer(cowslipcontrol.Accepted{Revision: 9, Era: 3, Text: strings.Replace(again, "order = 3", "order = 8", 1)}, "test"))
+		require.Equal(t, "done", c.Moves(x.now)[0].State, id)
+		x.now = x.now.Add(time.Minute)
+		c.Tick(x.now)
+		require.True(t, c.Offer(cowslipcontrol.Accepted{Revision: 10, Era: 3, Text: strings.Replace(again, "order = 3", "order = 10", 1)}, "test"))
+		require.Equal(t, "canary", c.Moves(x.now)[0].State, "a later order begins the move anew")
+	}
+}
--- a/cowslipcontrol/move.go
+++ b/cowslipcontrol/move.go
@@ -70,6 +70,9 @@
 			return c.moves[i]
 		}
 	}
+	if r, ok := c.reorderedMove(m); ok {
+		return r
+	}
 	start := c.accepted.MoveStarts[m.ID()]
 	if m.Within() > 0 {
 		start = c.lastTick
