Moves: the new version serves once the old one is gone

Cause: the rule for the usual requests of a move under way knew no other version to fall back to. It must serve instances that remember nothing: whatever the store lost, the targets show what is left.

A version at fault is stopped as ever.

--- a/cowslipcontrol/judge_test.go
+++ b/cowslipcontrol/judge_test.go
@@ -38,7 +38,8 @@
 	now      time.Time
 	nodes    map[string]*cowslipcontrol.Control
 	outcomes []string
-	sent     map[string]int // requests by version
+	oldGone  bool           // no target of the old version is listed
+	sent     map[string]int // requests by version; those refused under ""
 }
 
 func newJudgeSimulation(t *testing.T, n int) *judgeSimulation {
@@ -70,16 +71,21 @@
 		for _, c := range x.nodes {
 			p, release := c.View().Service("s").ChooseVersions("r", 0.01)
 			v, id := "v1", "old"
-			if p.Preferred.Allows("v2") {
+			switch {
+			case p.Preferred.Allows("v2"), x.oldGone && p.HasFallback && p.Fallback.Allows("v2"):
 				v, id = "v2", "new"
+			case x.oldGone:
+				v = ""
 			}
+			x.sent[v]++
+			release()
 			s := cowslipcontrol.Sample{Target: c.View().Target(id), Route: "r", Latency: 10 * time.Millisecond, At: x.now}
 			if v == "v2" && bad() {
 				s.Outcome = cowsliptarget.Failed
 			}
-			x.sent[v]++
-			release()
-			c.Observe(s)
+			if v != "" {
+				c.Observe(s)
+			}
 			_, e := c.Tick(x.now)
 			for _, o := range e.Outcomes {
 				x.outcomes = append(x.outcomes, fmt.Sprint(o.GetDone()))
@@ -151,3 +157,30 @@
 		})
 	}
 }
+
+// Guards against a move that refuses all requests for its whole time: instances that have just
+// started know nothing of its end, after which the targets of the old version were stopped. A
+// version that is bad gets no more requests than its bound.
+func TestNewVersionServesOnceTheOldOneIsGone(t *testing.T) {
+	for _, bad := range []bool{false, true} {
+		x := newJudgeSimulation(t, 3)
+		x.oldGone = true
+		for _, c := range x.nodes {
+			c.UpdateTargets(x.now, []cowslipplatform.Instance{{ID: "new", Addr: "new", Service: "s", FailureDomain: "cerro", Version: "v2", Slots: 99, Incarnation: "1"}})
+		}
+		x.run(6*time.Second, func() bool { return bad })
+		if bad {
+			require.Contains(t, x.outcomes, "false")
+			require.LessOrEqual(t, float64(x.sent["v2"]), 0.1*float64(x.sent["v2"])+50)
+			continue
+		}
+		x.sent = map[string]int{}
+		x.run(time.Second, func() bool { return false })
+		require.Zero(t, x.sent[""], "requests are refused though the new version is well")
+		require.NotZero(t, x.sent["v2"])
+		for len(x.outcomes) == 0 {
+			x.run(tick, func() bool { return false })
+		}
+		require.Equal(t, "true", x.outcomes[0])
+	}
+}
--- a/cowslipcontrol/move.go
+++ b/cowslipcontrol/move.go
@@ -40,6 +40,8 @@
 	isJudge       bool                       // this instance pools and evaluates the evidence
 	doubt         string                     // why the move may not be recorded as done yet, by the last snapshot
 	held          string                     // the doubt that was last reported as an event
+	oldSeenAt     time.Time                  // when a target of the old version was last in use
+	oldGone       bool                       // the old version is gone, and the new one has targets
 	reported      string                     // "fault" once a fault after the move was reported as an event
 }
 
@@ -88,6 +90,7 @@
 	for i := range c.moves {
 		m := &c.moves[i]
 		c.assignRoles(now, m)
+		c.trackOldVersion(now, m)
 		c.publishShare(m)
 		c.restoreRecord(now, m)
 		if !m.isJudge {
@@ -178,6 +181,8 @@
 // sum of the requests to the new version is bounded: the evidence comes after that.
 func (c *Control) requiredEvidence(m *move, progress float64) uint64 {
 	switch {
+	case m.oldGone:
+		return c.neededBySuccessor()
 	case progress < 0.5 && !c.exposure(m).bounded:
 		return 20
 	case progress < 0.7:
@@ -319,6 +324,8 @@
 		v.Done = o.GetDone()
 		v.Canary = v.Canary && c.exposure(m).allowsCanary(m.progress(now))
 		v.Stopped = !v.Done && (o != nil || c.stops[m.config.ID()] != nil)
+		v.OldGone = m.oldGone
+		v.MayTry = c.exposure(m).mayTry()
 		p := c.plan(now, m)
 		if v.RouteShares = p.Shares; p.Load {
 			v.LoadTarget = c.loadTarget(now, m)
--- a/cowslipentry/forwardexplainservice.go
+++ b/cowslipentry/forwardexplainservice.go
@@ -174,6 +174,9 @@
 // describeVersions returns in words which versions are asked.
 func describeVersions(r cowsliproute.VersionRule) string {
 	usual := r.Usual.Preferred.String()
+	if r.Usual.HasFallback {
+		usual += ", else " + r.Usual.Fallback.String()
+	}
 	moved := r.Moved.Preferred.String()
 	switch {
 	case r.Canary:
--- a/cowsliproute/service.go
+++ b/cowsliproute/service.go
@@ -30,6 +30,8 @@
 	Canary         bool               // this process may send canary requests, one at a time
 	Stopped        bool               // no request may go to To
 	Done           bool               // all requests go to To
+	OldGone        bool               // no target of From is left: requests of listed routes go to To, and the others if MayTry is set
+	MayTry         bool
 	CanaryInFlight *atomic.Bool
 }
 
@@ -126,6 +128,8 @@
 	case m.Done:
 		r.Usual.Preferred = after
 	case m.Stopped:
+	case m.OldGone && (known || m.MayTry):
+		r.Usual.Fallback, r.Usual.HasFallback = OnlyVersion(m.To), true
 	case known:
 		r.MovedShare = share
 	default:
--- a/cowsliproute/view_test.go
+++ b/cowsliproute/view_test.go
@@ -184,6 +184,10 @@
 		{"beyond the share", &cowsliproute.MoveView{From: "v1", To: "v2", RouteShares: map[string]float64{"r": 0.5}, CanaryInFlight: busy}, 0.6, cowsliproute.VersionPreference{Preferred: cowsliproute.OnlyVersion("v1")}},
 		{"stopped", &cowsliproute.MoveView{From: "v1", To: "v2", RouteShares: map[string]float64{"r": 1}, Stopped: true, CanaryInFlight: busy}, 0, cowsliproute.VersionPreference{Preferred: cowsliproute.OnlyVersion("v1")}},
 		{"from any version", &cowsliproute.MoveView{To: "v2", CanaryInFlight: busy}, 0, cowsliproute.VersionPreference{Preferred: cowsliproute.ExceptVersion("v2")}},
+		{"old version gone", &cowsliproute.MoveView{To: "v2", OldGone: true, RouteShares: map[string]float64{"r": 0}, CanaryInFlight: busy}, 0, cowsliproute.VersionPreference{Preferred: cowsliproute.ExceptVersion("v2"), Fallback: cowsliproute.OnlyVersion("v2"), HasFallback: true}},
+		{"old version gone, no evidence, may try", &cowsliproute.MoveView{To: "v2", OldGone: true, MayTry: true, CanaryInFlight: busy}, 0, cowsliproute.VersionPreference{Preferred: cowsliproute.ExceptVersion("v2"), Fallback: cowsliproute.OnlyVersion("v2"), HasFallback: true}},
+		{"old version gone, no evidence", &cowsliproute.MoveView{To: "v2", OldGone: true, CanaryInFlight: busy}, 0, cowsliproute.VersionPreference{Preferred: cowsliproute.ExceptVersion("v2")}},
+		{"old version gone, stopped", &cowsliproute.MoveView{To: "v2", OldGone: true, MayTry: true, Stopped: true, CanaryInFlight: busy}, 0, cowsliproute.VersionPreference{Preferred: cowsliproute.ExceptVersion("v2")}},
 		{"done", &cowsliproute.MoveView{From: "v1", To: "v2", Done: true, CanaryInFlight: busy}, 0.9, cowsliproute.VersionPreference{Preferred: cowsliproute.OnlyVersion("v2")}},
 	} {
 		t.Run(x.name, func(t *testing.T) {
