--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -134,6 +134,8 @@
 	clearedUpTo     map[clearingKey]cowslipplatform.Revision // revisions of the last ones in the store, by fingerprint
 	crashVerdicts   map[uint64]cowsliproute.Suspicion
 	holds           map[uint64]*hold      // that the store shows, by content of the requests
+	lostHolds       map[uint64]SharedHold // that the store showed before the present era and does not show whole, by content of the requests
+	keptCrashes     []crash               // that the store showed before the present era
 	newHolds        map[uint64]SharedHold // that the store must be told of, by content of the requests
 	lifts           map[uint64]lift       // of holds, by content of the requests
 	shortHolds      map[uint64]*shortHold // of quarantined requests that were answered shortly before, by fingerprint
@@ -142,13 +144,14 @@
 
 // Effects are the actions that the control state requests from its process.
 type Effects struct {
-	Repair   bool                                // write the configuration in force to the store, which holds an older revision
-	Outcomes []*cowslipmessage.Outcome           // record these outcomes of moves
-	Started  []cowslipconfig.Move                // record that these moves have started
-	Expected map[string]cowslipplatform.Revision // by move ID: the revision that its record in the store has if nothing has changed since Outcomes and Started were decided
-	Crashes  []SharedCrash                       // tell the other instances of these crashes
-	Holds    []SharedHold                        // write these holds to the store
-	Push     bool                                // exchange state with all peers immediately
+	Repair       bool                                // write the configuration in force to the store, which holds an older revision
+	Outcomes     []*cowslipmessage.Outcome           // record these outcomes of moves
+	Started      []cowslipconfig.Move                // record that these moves have started
+	Expected     map[string]cowslipplatform.Revision // by move ID: the revision that its record in the store has if nothing has changed since Outcomes and Started were decided
+	Crashes      []SharedCrash                       // tell the other instances of these crashes
+	CrashesAgain []SharedCrash                       // likewise, of those that the store may have lost
+	Holds        []SharedHold                        // write these holds to the store
+	Push         bool                                // exchange state with all peers immediately
 }
 
 // New returns a Control that starts at now.
@@ -189,7 +192,7 @@
 	c.runMoves(now)
 	c.runUnanswered(now)
 	c.runQuarantine(now)
-	c.effects.Holds = slices.Collect(maps.Values(c.newHolds))
+	c.effects.Holds = slices.AppendSeq(c.lostHoldsToWrite(now), maps.Values(c.newHolds))
 	c.runLimits(now)
 	c.lastTick = now
 	c.publish()
--- a/cowslipcontrol/era.go
+++ b/cowslipcontrol/era.go
@@ -16,6 +16,7 @@
 	for id := range c.outcomes {
 		c.lostRecords[id] = true
 	}
+	c.keepHolds()
 	// A clearing of the copy may be older than crashes that the copy lacks.
 	c.clearings = nil
 	c.StoreReturned(backBy)
--- a/cowslipcontrol/quarantine.go
+++ b/cowslipcontrol/quarantine.go
@@ -36,6 +36,7 @@
 	partial          bool // targets of other services answered the request
 	answered         bool // another sending of the request was answered shortly before
 	trial            bool // the request was sent after a hold
+	wide             bool // the request was sent to several services
 	at               time.Time
 }
 
@@ -106,7 +107,12 @@
 }
 
 func (s SharedCrash) row(now time.Time) crash {
-	return crash{fingerprint: s.Fingerprint, family: s.Family, copies: s.Copies, content: s.Content, sent: s.Sent, ended: s.Ended, incident: s.Incident, endedRun: s.EndedRun, service: s.Service, version: s.Version, partial: s.Partial, answered: s.Answered, trial: s.Trial, at: now}
+	return crash{fingerprint: s.Fingerprint, family: s.Family, copies: s.Copies, content: s.Content, sent: s.Sent, ended: s.Ended, incident: s.Incident, endedRun: s.EndedRun, service: s.Service, version: s.Version, partial: s.Partial, answered: s.Answered, trial: s.Trial, wide: s.Wide, at: now}
+}
+
+// shared returns the crash as instances tell each other.
+func (x crash) shared() SharedCrash {
+	return SharedCrash{Fingerprint: x.fingerprint, Family: x.family, Copies: x.copies, Content: x.content, Sent: x.sent, Ended: x.ended, Incident: x.incident, EndedRun: x.endedRun, Service: x.service, Version: x.version, Partial: x.partial, Answered: x.answered, Trial: x.trial, Wide: x.wide}
 }
 
 // Without returns the crash as evidence against its own request and those others that were not
@@ -142,6 +148,7 @@
 		}
 		rows = append(rows, x)
 	}
+	rows = c.withKeptCrashes(now, rows)
 	c.crashesDirty = c.crashesDirty || !slices.Equal(rows, c.sharedCrashes)
 	c.sharedCrashes = rows
 }
@@ -188,6 +195,7 @@
 	c.clearedSuspects[fingerprint][service] = now
 	c.crashes = slices.DeleteFunc(c.crashes, func(x crash) bool { return x.fingerprint == fingerprint && x.service == service })
 	c.crashesDirty = true
+	c.forgetLostHold(fingerprint)
 }
 
 // runQuarantine removes expired crashes and decides the verdict on each
--- a/cowslipcontrol/requesthold.go
+++ b/cowslipcontrol/requesthold.go
@@ -79,10 +79,11 @@
 
 // UpdateHolds replaces the holds that the store shows.
 func (c *Control) UpdateHolds(now time.Time, l []SharedHold) {
-	if len(l) == 0 && len(c.holds) == 0 && len(c.lifts) == 0 {
+	if len(l) == 0 && len(c.holds) == 0 && len(c.lifts) == 0 && len(c.lostHolds) == 0 {
 		return
 	}
 	known, lifts := c.holds, c.lifts
+	l = c.withLostHolds(now, l)
 	c.holds, c.lifts = make(map[uint64]*hold, len(l)), map[uint64]lift{}
 	for _, s := range l {
 		if x, ok := lifts[s.Content]; ok && !s.Revision.After(x.revision) {
@@ -143,6 +144,9 @@
 
 // HoldWritten records that the store has accepted a hold, at its Revision.
 func (c *Control) HoldWritten(now time.Time, s SharedHold) {
+	if s.includes(c.lostHolds[s.Content]) {
+		delete(c.lostHolds, s.Content)
+	}
 	if h := c.holds[s.Content]; h == nil || h.Revision.Before(s.Revision) {
 		c.addHold(now, s, h)
 		c.crashesDirty = true
@@ -175,6 +179,7 @@
 		delete(c.holds, content)
 	}
 	c.crashesDirty = true
+	delete(c.lostHolds, content)
 	return left, true
 }
 
--- a/cowslipcontrol/requesthold_test.go
+++ b/cowslipcontrol/requesthold_test.go
@@ -30,6 +30,8 @@
 	away      bool // the store does not answer
 	answered  bool // the request was answered shortly before its crashes
 	sent      int  // how often the request was sent to a target
+	era       uint64
+	copied    *cowslipcontrol.SharedHold // the hold in the copy from which the store comes back
 }
 
 func newHoldFleet(n int) *holdFleet {
@@ -70,12 +72,26 @@
 		return false
 	}
 	w.revision++
-	s.Revision = cowslipplatform.NewRevision(0, w.revision)
+	s.Revision = cowslipplatform.NewRevision(w.era, w.revision)
 	w.hold = &s
 	x.HoldWritten(w.now, s)
 	return true
 }
 
+// drill brings the store back from its copy, without crashes, and makes another copy.
+func (w *holdFleet) drill() {
+	w.era++
+	w.crashes = nil
+	if w.hold, w.copied = w.copied, w.hold; w.hold != nil {
+		h := *w.hold
+		h.Revision = cowslipplatform.NewRevision(w.era, h.Revision.Number())
+		w.hold = &h
+	}
+	for _, x := range w.instances {
+		x.EraBegan(w.now, cowslipplatform.NewRevision(w.era, w.revision), w.now)
+	}
+}
+
 // step moves the time on, and has each instance get the request once.
 func (w *holdFleet) step(d time.Duration) {
 	w.now = w.now.Add(d)
@@ -143,6 +159,16 @@
 				}
 			}
 		}},
+		{"the store comes back from an older copy each ten minutes", false, func(w *holdFleet, at time.Duration) {
+			if at%(10*time.Minute) == 0 {
+				w.drill()
+			}
+		}},
+		{"the store comes back from an older copy each minute", true, func(w *holdFleet, at time.Duration) {
+			if at%time.Minute == 0 {
+				w.drill()
+			}
+		}},
 		{"the store is away each other minute", true, func(w *holdFleet, at time.Duration) {
 			w.away = at/time.Minute%2 == 1
 		}},
--- a/cowslipentry/loop.go
+++ b/cowslipentry/loop.go
@@ -59,6 +59,9 @@
 	if len(x.Crashes) > 0 {
 		e.shareEndedRuns(v, x.Crashes)
 	}
+	for _, s := range x.CrashesAgain {
+		e.shareCrash(e.crashes, s)
+	}
 	for _, m := range x.Started {
 		e.startRetried("started/"+m.ID(), func(ctx context.Context) time.Duration {
 			_, wait := e.recordMoveState(ctx, m, MoveRunning, x.Expected[m.ID()])
