Usage: one holder, and a token that rises, when the store comes back from a copy

What the billing interface would see: a copy that is older than the holder's key lets another instance take the duty at once, with a lower token, while the holder acts until its next renewal.

Change: the token is the revision below the era. When an era begins, the holder gives up, and the others wait for a lease before they take the duty.

--- a/cowslipentry/contents.go
+++ b/cowslipentry/contents.go
@@ -29,6 +29,9 @@
 	if newEra {
 		e.retainer.Begin(now, r)
 		e.metrics.storeEras.Add(1)
+		if e.usage != nil {
+			e.usage.eraBegan()
+		}
 		e.log.Warn("the store has begun a new era", "before", before.String(), "now", r.String(), "from", from)
 	}
 	values := e.mirror.Values()
--- a/cowslipentry/usage.go
+++ b/cowslipentry/usage.go
@@ -156,6 +156,14 @@
 	}
 }
 
+// eraBegan handles that the store has come back from an older copy.
+func (u *usage) eraBegan() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.duty.EraBegan(u.now())
+	u.followDuty()
+}
+
 // seen returns what the mirror shows of the duty.
 func (u *usage) seen() cowslipusage.Seen {
 	if h, _, held := u.holder(); held {
@@ -266,7 +274,7 @@
 		u.log.Warn("holder of usage reports not decoded", "error", err)
 		return h, 0, false
 	}
-	return h, v.Revision.Number(), true
+	return h, cowslipusage.Token(v.Revision), true
 }
 
 // countLoop sends the counts of this process to the holder.
--- a/cowslipusage/duty.go
+++ b/cowslipusage/duty.go
@@ -35,6 +35,13 @@
 	maxTickGap = 250 * time.Millisecond
 )
 
+// tokenEraBits is the number of bits of a token below its era.
+const tokenEraBits = 40
+
+// Token returns the token of a holder whose key was created at a revision. It rises with the era
+// of the store, in which revisions are given out again.
+func Token(r cowslipplatform.Revision) uint64 { return r.Era()<<tokenEraBits + r.Number() }
+
 // Holder is the value of HolderKey.
 type Holder struct {
 	ID          string `json:"id"`
@@ -186,7 +193,7 @@
 func (d *Duty) created(now time.Time, r Result) {
 	switch {
 	case r.Err == nil:
-		d.take(now, r.Revision.Number())
+		d.take(now, Token(r.Revision))
 	case errors.Is(r.Err, cowslipplatform.ErrConflict), errors.Is(r.Err, cowslipplatform.ErrLeaseExpired):
 		d.giveUp(now)
 	default:
@@ -204,7 +211,7 @@
 	case r.Err != nil:
 		d.renewAt = now.Add(d.lease / retryDivisor)
 	case json.Unmarshal(r.Value.Data, &h) == nil && h == d.self:
-		d.take(now, r.Value.Revision.Number())
+		d.take(now, Token(r.Value.Revision))
 	default:
 		d.giveUp(now)
 	}
@@ -261,6 +268,18 @@
 	d.event("usageDutyLost", reason)
 }
 
+// EraBegan handles that the store has come back from an older copy, which may lack the key of the
+// holder. The holder gives up. The others wait for a lease, after which it has noticed in any case.
+func (d *Duty) EraBegan(now time.Time) {
+	if d.state == holding {
+		d.lose(now, "the store has come back from an older copy")
+		return
+	}
+	if n := now.Add(d.lease + d.lease/marginDivisor); d.notBefore.Before(n) {
+		d.notBefore = n
+	}
+}
+
 // Tick notices a suspension of the process and the end of the lease. It reports whether a
 // call to the platform may go on. Tick must be called several times within maxTickGap.
 func (d *Duty) Tick(now time.Time) bool {
--- a/cowslipusage/steps_test.go
+++ b/cowslipusage/steps_test.go
@@ -42,6 +42,27 @@
 	}
 }
 
+// Guards against two holders at once, and against a token that falls, when the store comes back from
+// a copy that is older than the holder's key.
+func TestDutyWhenTheStoreCameBackFromACopy(t *testing.T) {
+	d, now := newHolder(t)
+	before, _ := d.Holds(now)
+	d.EraBegan(now)
+	require.False(t, d.MayAct(now), "the key may be gone")
+	other := cowslipusage.NewDuty(cowslipusage.Holder{ID: "e2"}, lease, start, nil)
+	other.Next(start, vacant)
+	other.EraBegan(now)
+	require.Equal(t, cowslipusage.None, other.Next(now.Add(lease), vacant).Kind, "the holder may not have noticed")
+	now = now.Add(2 * lease)
+	require.Equal(t, cowslipusage.Grant, other.Next(now, vacant).Kind)
+	other.Done(now, cowslipusage.Result{Lease: cowslipplatform.NewLease(1, 1)})
+	require.Equal(t, cowslipusage.Put, other.Next(now, vacant).Kind)
+	other.Done(now, cowslipusage.Result{Revision: cowslipplatform.NewRevision(1, 2)})
+	after, ok := other.Holds(now)
+	require.True(t, ok)
+	require.Greater(t, after, before)
+}
+
 // Failure: the holder was suspended for less than its lease, as far as its clock tells.
 func TestHolderAsksTheStoreAfterASuspension(t *testing.T) {
 	d, now := newHolder(t)
