Crashes: the stop of old targets after a move is planned

What callers saw: at the end of a move the platform stops the targets of the old version at once. The requests in flight there counted as requests that had crashed targets, and they and all like them were refused by all instances for seconds to more than half a minute.

Cause: only a target that announces its end was taken for one that ends as planned. An instance may see the stop before it has read that the move is done.

Change: a loss at the old version of a move that is done, or may have been recorded as done by another instance, is no crash at once. It is kept as an unanswered request and counts if the target's run ends though the move is not done. The guard of wide requests leaves it out likewise.

--- a/cowslipcontrol/move.go
+++ b/cowslipcontrol/move.go
@@ -25,6 +25,10 @@
 	doublingPeriod     = 0.02 // period in which the share of a route whose evidence came late doubles
 )
 
+// recordLag is how much earlier than this instance another one may have learned of a move and
+// recorded it as done.
+const recordLag = 3 * time.Second
+
 // move is a row of the table of moves. The evidence of a move is the counts of its
 // service's requests by version, route and failure domain.
 type move struct {
@@ -324,6 +328,7 @@
 		v.Done = o.GetDone()
 		v.Canary = v.Canary && c.exposure(m).allowsCanary(m.progress(now))
 		v.Stopped = !v.Done && (o != nil || c.stops[m.config.ID()] != nil)
+		v.Ending = o == nil && m.progress(now.Add(recordLag)) >= earliestDone
 		v.OldGone = m.oldGone
 		v.MayTry = c.exposure(m).mayTry()
 		p := c.plan(now, m)
--- a/cowslipcontrol/unanswered.go
+++ b/cowslipcontrol/unanswered.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"cowslipflow/cowsliproute"
 )
 
 const (
@@ -47,10 +49,24 @@
 // runEnded reports whether the run of a target that a request was sent to has ended, and
 // whether it is ending as planned.
 func (c *Control) runEnded(x Crash) (ended, planned bool) {
+	planned = c.stoppedAfterMove(x.Target.Info())
 	n, ok := c.targetIndex[x.Target.Info().ID]
 	if !ok {
-		return true, false
+		return true, planned
 	}
 	t := &c.targets[n]
-	return t.incarnation != x.Incarnation || t.removed, t.listLeaving || t.selfLeaving
+	return t.incarnation != x.Incarnation || t.removed, planned || t.listLeaving || t.selfLeaving
+}
+
+// stoppedAfterMove reports whether the service of a target has moved from its version to another
+// one. The platform then stops such targets without notice.
+func (c *Control) stoppedAfterMove(i cowsliproute.TargetInfo) bool {
+	for n := range c.moves {
+		m := &c.moves[n].config
+		side, ok := m.Side(i.Version)
+		if ok && m.Service() == i.Service && side != m.To() && c.outcomes[m.ID()].GetDone() {
+			return true
+		}
+	}
+	return false
 }
--- a/cowslipentry/forwardcrash.go
+++ b/cowslipentry/forwardcrash.go
@@ -173,7 +173,7 @@
 	var unanswered []cowslipcontrol.Crash
 	for _, x := range l {
 		k := cowslipcontrol.Crash{Fingerprint: f.fingerprint, Family: f.family, Copies: f.copies, Content: f.content, Incident: f.incident, Sent: f.start, Ended: ended, Target: x.target, Incarnation: x.incarnation, Partial: partial, Answered: answered, Trial: f.suspicion.Trial, Wide: f.gathers()}
-		if !f.refuses(ctx, x) {
+		if f.mayStop(x.target) || !f.refuses(ctx, x) {
 			unanswered = append(unanswered, k)
 			continue
 		}
@@ -187,6 +187,13 @@
 	f.do(func(_ time.Time, c *cowslipcontrol.Control) { c.Unanswered(ended, unanswered...) })
 }
 
+// mayStop reports whether a target may have been stopped as planned, since its service moves to
+// another version. Whether it crashed shows once its entry is gone and the end of the move known.
+func (f *forward) mayStop(t *cowsliproute.Target) bool {
+	s := f.Entry.view.Load().Service(t.Info().Service)
+	return s != nil && s.MayStop(t.Info().Version)
+}
+
 // refuses reports whether the host of a target that broke a request off refuses connections.
 func (f *forward) refuses(ctx context.Context, x forwardResult) bool {
 	reason := "its host does not refuse connections"
--- a/cowslipentry/forwardprobe.go
+++ b/cowslipentry/forwardprobe.go
@@ -88,7 +88,7 @@
 // checkLoss checks, in the background, whether the target of an attempt of a wide request has
 // crashed. The request is told at once, as are the guard and other instances.
 func (f *forward) checkLoss(x forwardResult) {
-	if f.guard.guard == nil || x.outcome != cowsliptarget.Lost && x.outcome != cowsliptarget.Corrupt || x.target.Leaving() || f.guard.checks >= maxCrashProbes {
+	if f.guard.guard == nil || x.outcome != cowsliptarget.Lost && x.outcome != cowsliptarget.Corrupt || x.target.Leaving() || f.mayStop(x.target) || f.guard.checks >= maxCrashProbes {
 		return
 	}
 	f.guard.checks++
--- a/cowsliproute/service.go
+++ b/cowsliproute/service.go
@@ -30,6 +30,7 @@
 	Canary         bool               // this process may send canary requests, one at a time
 	Stopped        bool               // no request may go to To
 	Done           bool               // all requests go to To
+	Ending         bool               // another instance may have recorded the move as done
 	OldGone        bool               // no target of From is left: requests of listed routes go to To, and the others if MayTry is set
 	MayTry         bool
 	CanaryInFlight *atomic.Bool
@@ -80,6 +81,21 @@
 // Limiter returns the limiter that admits queries.
 func (s *Service) Limiter() *Limiter { return s.limiter }
 
+// MayStop reports whether targets of a version may be stopped at any moment, as the service has
+// moved to another version, or is about to have.
+func (s *Service) MayStop(version string) bool {
+	m := s.move
+	return m != nil && (m.Done || m.Ending) && m.before().Allows(version)
+}
+
+// before returns the versions that serve before the move.
+func (m *MoveView) before() VersionSet {
+	if m.From == "" {
+		return ExceptVersion(m.To)
+	}
+	return OnlyVersion(m.From)
+}
+
 // VersionPreference states which versions a request may be sent to: those in Preferred
 // and, if HasFallback is set, those in Fallback when no preferred one can be asked.
 type VersionPreference struct {
@@ -115,10 +131,7 @@
 	if m == nil {
 		return VersionRule{Usual: VersionPreference{Preferred: OnlyVersion(s.config.Version())}}
 	}
-	before, after := OnlyVersion(m.From), OnlyVersion(m.To)
-	if m.From == "" {
-		before = ExceptVersion(m.To)
-	}
+	before, after := m.before(), OnlyVersion(m.To)
 	share, known := m.RouteShares[route]
 	if known && !m.Done {
 		after = after.onTarget(m.LoadTarget)
