Moves: a version that was taken back gets no requests until it is ordered again

Cause: the rule that a version is out of use hung on the move, which the next order replaces. An order moves from all versions but its own; without an order, all versions serve.

Change: a version whose move is stopped or taken back is out of use as long as it has targets, until a move to it is ordered again. If it is all that is left, requests are refused: it is known to be bad, and its targets are about to leave.

--- a/cowslipcontrol/control.go
+++ b/cowslipcontrol/control.go
@@ -117,6 +117,8 @@
 	moveRecords      map[string]moveRecord // what the platform shows of moves, by ID
 	lostRecords      map[string]bool       // by ID of moves: the outcome was known before the present era, of which no content has shown it
 	stops            map[string]*cowslipmessage.Stop
+	withdrawn        map[versionKey]withdrawal
+	shownWithdrawals map[versionKey]Withdrawal // that the store shows
 
 	departedCounts map[string]map[evidenceKey]counts // evidence received from peers that are gone and from previous incarnations of peers, by incarnation
 
@@ -150,6 +152,7 @@
 	Expected     map[string]cowslipplatform.Revision // by move ID: the revision that its record in the store has if nothing has changed since Outcomes and Started were decided
 	Crashes      []SharedCrash                       // tell the other instances of these crashes
 	CrashesAgain []SharedCrash                       // likewise, of those that the store may have lost
+	Withdrawals  []Withdrawal                        // write these to the store
 	Holds        []SharedHold                        // write these holds to the store
 	Push         bool                                // exchange state with all peers immediately
 }
@@ -170,7 +173,7 @@
 		freshness: &cowsliproute.Freshness{}, scope: cowsliproute.ScopeNone,
 		targetIndex: map[string]int{}, targetByAddr: map[string]*cowsliproute.Target{}, services: map[string]*service{},
 		domains:  map[string]*domainState{},
-		outcomes: map[string]*cowslipmessage.Outcome{}, moveRecords: map[string]moveRecord{}, lostRecords: map[string]bool{}, stops: map[string]*cowslipmessage.Stop{},
+		outcomes: map[string]*cowslipmessage.Outcome{}, moveRecords: map[string]moveRecord{}, lostRecords: map[string]bool{}, stops: map[string]*cowslipmessage.Stop{}, withdrawn: map[versionKey]withdrawal{},
 		serviceDirty: map[string]bool{}, targetsDirty: map[string]bool{}, clearedSuspects: map[uint64]map[string]time.Time{}, shortHolds: map[uint64]*shortHold{}, lifts: map[uint64]lift{}, holds: map[uint64]*hold{}, departedCounts: map[string]map[evidenceKey]counts{}, viewDirty: true, limitsDirty: true,
 	}
 	return c
@@ -190,6 +193,7 @@
 	c.runServiceHedging(now)
 	c.runRouteHedging(now)
 	c.runMoves(now)
+	c.runWithdrawals(now)
 	c.runUnanswered(now)
 	c.runQuarantine(now)
 	c.effects.Holds = slices.AppendSeq(c.lostHoldsToWrite(now), maps.Values(c.newHolds))
--- a/cowslipcontrol/exchange.go
+++ b/cowslipcontrol/exchange.go
@@ -145,6 +145,7 @@
 	c.effects.Push = true
 	for i := range c.moves {
 		if c.moves[i].config.ID() == x.GetMove() {
+			c.withdraw(c.lastTick, c.moves[i].config)
 			c.markMove(&c.moves[i])
 		}
 	}
--- a/cowslipcontrol/limits.go
+++ b/cowslipcontrol/limits.go
@@ -120,7 +120,7 @@
 func (c *Control) serving(t *target) bool {
 	i := t.handle.Info()
 	_, ok := c.config.Service(i.Service)
-	return ok && t.incarnation != "" && !t.leaving() && !c.config.FailureDomainOut(i.FailureDomain)
+	return ok && t.incarnation != "" && !t.leaving() && !c.config.FailureDomainOut(i.FailureDomain) && !c.isWithdrawn(i)
 }
 
 // usable reports whether requests may be sent to a target now, apart from its limit
--- a/cowslipcontrol/move.go
+++ b/cowslipcontrol/move.go
@@ -64,6 +64,7 @@
 		configured[m.ID()] = true
 	}
 	c.moves = n
+	c.readmitOrdered()
 	maps.DeleteFunc(c.departedCounts, func(_ string, l map[evidenceKey]counts) bool {
 		maps.DeleteFunc(l, func(k evidenceKey, _ counts) bool { return !configured[k.move] })
 		return len(l) == 0
@@ -224,6 +225,7 @@
 	id := m.config.ID()
 	c.stops[id] = &cowslipmessage.Stop{Move: id, Reason: reason, By: c.o.ID}
 	c.o.Event("moveStopped", id, reason)
+	c.withdraw(c.lastTick, m.config)
 	c.effects.Push = true
 	c.markMove(m)
 }
@@ -310,6 +312,11 @@
 	}
 	for i := range c.moves {
 		if c.moves[i].config.ID() == o.GetMove() {
+			if o.GetDone() {
+				c.readmit(c.moves[i].config)
+			} else {
+				c.withdraw(c.lastTick, c.moves[i].config)
+			}
 			c.markMove(&c.moves[i])
 		}
 	}
--- a/cowslipcontrol/reorder.go
+++ b/cowslipcontrol/reorder.go
@@ -66,6 +66,9 @@
 		c.outcomes[to] = &cowslipmessage.Outcome{Move: to, Done: x.GetDone(), Reason: x.GetReason(), By: x.GetBy()}
 		c.lostRecords[to] = true
 	}
+	if k := (versionKey{m.Service(), m.To()}); c.withdrawn[k].move == from {
+		c.withdrawn[k] = withdrawal{move: to, at: c.withdrawn[k].at}
+	}
 	c.markMove(r)
 }
 
--- a/cowslipcontrol/successor.go
+++ b/cowslipcontrol/successor.go
@@ -38,7 +38,7 @@
 	for i := range c.targets {
 		t := &c.targets[i]
 		x := t.handle.Info()
-		if side, ok := m.config.Side(x.Version); ok && side != m.config.To() && x.Service == m.config.Service() && !t.leaving() {
+		if side, ok := m.config.Side(x.Version); ok && side != m.config.To() && x.Service == m.config.Service() && !t.leaving() && !c.isWithdrawn(x) {
 			return true
 		}
 	}
--- a/cowslipentry/contents.go
+++ b/cowslipentry/contents.go
@@ -41,6 +41,7 @@
 	crashes := e.decodeCrashes(values)
 	e.guardSharedCrashes(crashes)
 	clearings, holds := e.decodeClearings(values), e.decodeHolds(values)
+	withdrawals := e.decodeWithdrawals(values)
 	backBy := lapseReturnTime + e.shareOfStaleAge(changeShare)
 	e.do(func(now time.Time, c *cowslipcontrol.Control) {
 		if newEra {
@@ -57,6 +58,7 @@
 			c.StoreReturned(now.Add(backBy))
 		}
 		c.UpdateTargets(now, b.Targets)
+		c.UpdateWithdrawals(now, withdrawals)
 		if confirmed.IsZero() && e.isMirrorConfirmed() {
 			c.RemoveUnlisted()
 		}
--- a/cowslipentry/loop.go
+++ b/cowslipentry/loop.go
@@ -55,6 +55,7 @@
 	}
 	if e.opts.Edge != nil {
 		e.shareHolds(x.Holds)
+		e.shareWithdrawals(x.Withdrawals)
 	}
 	if len(x.Crashes) > 0 {
 		e.shareEndedRuns(v, x.Crashes)
