--- a/cowslipentry/entry.go
+++ b/cowslipentry/entry.go
@@ -195,7 +195,7 @@
 		e.pauses.elapsed = suspensionClock(e.clock.Now())
 	}
 	e.buffers = cowsliptarget.NewBuffers(o.Memory / bufferDivisor)
-	e.forwarder = cowsliptarget.NewForwarder(cowsliptarget.ForwarderOptions{IDHeader: o.Wire.IDHeader, Dial: o.Dial})
+	e.forwarder = cowsliptarget.NewForwarder(cowsliptarget.ForwarderOptions{IDHeader: o.Wire.IDHeader, Dial: o.Dial, Buffers: e.buffers})
 	e.relayer = &cowslippeer.Relayer{Dial: o.Dial}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.answering, e.endAnswering = context.WithCancel(e.ctx)
