--- a/cowslipcontrol/era_test.go
+++ b/cowslipcontrol/era_test.go
@@ -112,3 +112,16 @@
 		require.Equal(t, "canary", c.Moves(x.now)[0].State, "a later order begins the move anew")
 	}
 }
+
+// Guards against an outcome that a platform without eras has lost, as after a restore from a backup.
+func TestOutcomeMissingFromTheListIsRecordedAgain(t *testing.T) {
+	c := newJudgeSimulation(t, 1).nodes["e0"]
+	o := &cowslipmessage.Outcome{Move: judgedMove, Done: true}
+	c.Outcome(o)
+	c.OutcomesListed([]cowslipmessage.Outcome{{Move: judgedMove, Done: true}})
+	_, e := c.Tick(t0)
+	require.Empty(t, e.Outcomes)
+	c.OutcomesListed(nil)
+	_, e = c.Tick(t0)
+	require.Equal(t, []*cowslipmessage.Outcome{o}, e.Outcomes)
+}
