--- a/cowslipcontrol/move.go
+++ b/cowslipcontrol/move.go
@@ -313,7 +313,7 @@
 	for i := range c.moves {
 		if c.moves[i].config.ID() == o.GetMove() {
 			if o.GetDone() {
-				c.readmit(c.moves[i].config)
+				c.readmit(versionKey{c.moves[i].config.Service(), c.moves[i].config.To()})
 			} else {
 				c.withdraw(c.lastTick, c.moves[i].config)
 			}
--- a/cowslipcontrol/withdrawn.go
+++ b/cowslipcontrol/withdrawn.go
@@ -51,23 +51,25 @@
 	return ok
 }
 
-// readmitOrdered puts versions in use again that the configuration orders a move to, other than the
-// one that was taken back.
+// readmitOrdered puts versions in use again that the configuration states for a service, or orders a
+// move to, other than the one that was taken back.
 func (c *Control) readmitOrdered() {
+	for _, s := range c.config.Services() {
+		c.readmit(versionKey{s.Name(), s.Version()})
+	}
 	for _, m := range c.config.Moves() {
-		if w := c.withdrawn[versionKey{m.Service(), m.To()}]; w.move != m.ID() {
-			c.readmit(m)
+		if k := (versionKey{m.Service(), m.To()}); c.withdrawn[k].move != m.ID() {
+			c.readmit(k)
 		}
 	}
 }
 
-// readmit puts the new version of a move in use again.
-func (c *Control) readmit(m cowslipconfig.Move) {
-	k := versionKey{m.Service(), m.To()}
+// readmit puts a version in use again.
+func (c *Control) readmit(k versionKey) {
 	if _, ok := c.withdrawn[k]; ok {
 		delete(c.withdrawn, k)
 		c.limitsDirty = true
-		c.markTargetsDirty(m.Service())
+		c.markTargetsDirty(k.service)
 	}
 }
 
--- a/cowslipmirror/retainer.go
+++ b/cowslipmirror/retainer.go
@@ -16,6 +16,8 @@
 	Lost     time.Duration // of a value that the copy lacks
 	Older    time.Duration // of a value, where the copy has another one
 	Returned time.Duration // of the removal of a key that the copy has
+	// Newer, if not nil, reports whether a value of the copy is certainly newer than the known one.
+	Newer func(known, stored []byte) bool
 	// Version, if not nil, returns the number that orders the values of the key through all
 	// eras, and false if a value has none. A value never gives way to one with a lower number.
 	Version func(data []byte) (uint64, bool)
@@ -97,7 +99,7 @@
 		if outranks(x.Version, k.Data, v.Data) {
 			return k, true
 		}
-	case changed && !written && r.retains(now, x.Older):
+	case changed && !written && (x.Newer == nil || !x.Newer(k.Data, v.Data)) && r.retains(now, x.Older):
 		return k, true
 	}
 	r.settled[v.Key] = true
--- a/cowslipmirror/retainer_test.go
+++ b/cowslipmirror/retainer_test.go
@@ -12,10 +12,14 @@
 	"github.com/stretchr/testify/require"
 )
 
-// retentionByPrefix gives keys that begin with "v" an order of versions, which are their data, and
-// no retention to keys that begin with "x".
+// retentionByPrefix gives keys that begin with "v" an order of versions, which are their data, those
+// that begin with "n" contents that tell which one is newer, and no retention to those that begin
+// with "x".
 func retentionByPrefix(key string) (cowslipmirror.Retention, bool) {
 	r := cowslipmirror.Retention{Lost: 10 * time.Second, Older: 2 * time.Second, Returned: 5 * time.Second}
+	if strings.HasPrefix(key, "n") {
+		r.Newer = func(known, stored []byte) bool { return string(stored) > string(known) }
+	}
 	if strings.HasPrefix(key, "v") {
 		r.Version = func(b []byte) (uint64, bool) { return uint64(b[0]), len(b) == 1 }
 	}
@@ -40,6 +44,8 @@
 		{"unchanged", "k", "a", "a", 40, 0, "a"},
 		{"the copy has an older one", "k", "b", "a", 40, time.Second, "b"},
 		{"the copy has another one for long", "k", "b", "a", 40, 2 * time.Second, "a"},
+		{"the copy has an older one, as its content tells", "n", "b", "a", 40, 0, "b"},
+		{"the copy has a newer one than an instance that was cut off", "n", "a", "b", 40, 0, "b"},
 		{"written since", "k", "b", "a", 51, 0, "a"},
 		{"removed before, in the copy", "k", "", "a", 40, 4 * time.Second, ""},
 		{"removed before, in the copy for long", "k", "", "a", 40, 5 * time.Second, "a"},
